--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** Policy comparison and capacity slopes. */
+package org.lovagerack.benchmarks;
--- /dev/null
+++ b/burn/src/main/java/org/lovagerack/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Service-level burn. */
+package org.lovagerack.burn;
--- /dev/null
+++ b/coordination/src/main/java/org/lovagerack/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Coordination parts for embedding. */
+package org.lovagerack.coordination;
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon lovagerackd. */
+package org.lovagerack.daemon;
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/JobShape.java
@@ -0,0 +1,23 @@
+package org.lovagerack.dispatch;
+
+import java.time.Duration;
+
+/**
+ * What admission needs to know of a job before any of its tasks is queued.
+ *
+ * @param service name of the service
+ * @param kind request kind
+ * @param team team whose quota it counts against
+ * @param urgent whether it goes before jobs that are not urgent
+ * @param taskCount number of tasks
+ * @param longestDeclaredRunTime largest declared run time among the tasks
+ * @param deadlineNanos time of the timer service by which the answer is due
+ */
+public record JobShape(
+    String service,
+    String kind,
+    String team,
+    boolean urgent,
+    int taskCount,
+    Duration longestDeclaredRunTime,
+    long deadlineNanos) {}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Admission, queueing, routing, limits, retries and ejection. */
+package org.lovagerack.dispatch;
--- /dev/null
+++ b/foundation/src/main/java/org/lovagerack/foundation/data/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable data types shared by all parts. */
+package org.lovagerack.foundation.data;
--- /dev/null
+++ b/foundation/src/main/java/org/lovagerack/foundation/error/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the answer that belongs to each. */
+package org.lovagerack.foundation.error;
--- /dev/null
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -0,0 +1,67 @@
+package org.lovagerack.foundation.event;
+
+/**
+ * The closed list of numbered log events; {@code docs/log-events.md} is its catalogue. Numbers are
+ * grouped by duty (1000 daemon, 2000 submission, 3000 dispatch, 4000 notes, 5000 membership, 6000
+ * platform, 7000 operator calls) and are never reused.
+ */
+public enum LogEvent {
+  DAEMON_STARTED(1001, Severity.INFO, "entry daemon started"),
+  DAEMON_STOPPED(1002, Severity.INFO, "entry daemon stopped"),
+  DRAIN_STARTED(1003, Severity.INFO, "drain started"),
+  DRAIN_FINISHED(1004, Severity.INFO, "drain finished"),
+  SETTINGS_REJECTED(1005, Severity.ERROR, "settings rejected"),
+  PAUSE_DETECTED(1006, Severity.WARN, "process was paused"),
+  UNEXPECTED_ERROR(1099, Severity.ERROR, "unexpected error"),
+  SUBMISSION_REFUSED(2001, Severity.DEBUG, "submission refused"),
+  JOB_FAILED(2002, Severity.DEBUG, "job failed"),
+  UPSTREAM_EJECTED(3001, Severity.WARN, "upstream ejected"),
+  UPSTREAM_READMITTED(3002, Severity.INFO, "upstream readmitted"),
+  UPSTREAM_LEAVING(3003, Severity.INFO, "upstream is leaving"),
+  CONNECTION_SUSPECT(3004, Severity.WARN, "connection to upstream is suspected to be silent"),
+  NOTE_APPLIED(4001, Severity.INFO, "release note applied"),
+  NOTE_PUBLISHED(4002, Severity.INFO, "release note published"),
+  NOTE_REJECTED(4003, Severity.WARN, "release note rejected"),
+  NOTE_STALE_IGNORED(4004, Severity.DEBUG, "older revision ignored"),
+  PEER_CONNECTED(5001, Severity.INFO, "peer connected"),
+  PEER_DISCONNECTED(5002, Severity.INFO, "peer disconnected"),
+  PEER_SUSPECT(5003, Severity.WARN, "peer is suspected to be down"),
+  PEER_REJECTED(5004, Severity.WARN, "peer connection rejected"),
+  PLATFORM_UNAVAILABLE(6001, Severity.WARN, "platform call failed"),
+  PLATFORM_RECOVERED(6002, Severity.INFO, "platform answers again"),
+  OPERATOR_CALL(7001, Severity.INFO, "operator call"),
+  OPERATOR_REJECTED(7002, Severity.WARN, "operator call rejected");
+
+  /** Severity of an event; the log level of the same name. */
+  public enum Severity {
+    DEBUG,
+    INFO,
+    WARN,
+    ERROR
+  }
+
+  private final int number;
+  private final Severity severity;
+  private final String text;
+
+  LogEvent(int number, Severity severity, String text) {
+    this.number = number;
+    this.severity = severity;
+    this.text = text;
+  }
+
+  /** Returns the number of the event, unique and stable. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the severity. */
+  public Severity severity() {
+    return severity;
+  }
+
+  /** Returns the fixed text of the event. */
+  public String text() {
+    return text;
+  }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.lovagerack.foundation.event;
--- /dev/null
+++ b/foundation/src/main/java/org/lovagerack/foundation/timer/DrivenTimer.java
@@ -0,0 +1,89 @@
+package org.lovagerack.foundation.timer;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * A timer service whose time moves only when {@link #advance} is called. Callbacks run in order of
+ * their due time, and those due at the same time in order of subscription, so that a run is
+ * deterministic.
+ */
+public final class DrivenTimer implements TimerService {
+
+  private final PriorityQueue<Entry> entries =
+      new PriorityQueue<>(
+          Comparator.comparingLong((Entry entry) -> entry.dueNanos)
+              .thenComparingLong(entry -> entry.order));
+  private long nowNanos;
+  private long nextOrder;
+
+  @Override
+  public long nanoTime() {
+    return nowNanos;
+  }
+
+  @Override
+  public TimerSubscription after(Duration delay, Runnable callback) {
+    return add(delay, 0, callback);
+  }
+
+  @Override
+  public TimerSubscription every(Duration period, Runnable callback) {
+    if (!period.isPositive()) {
+      throw new IllegalArgumentException("timer period is not positive: " + period);
+    }
+    return add(period, period.toNanos(), callback);
+  }
+
+  /** Moves time forward by {@code duration} and runs every callback that becomes due. */
+  public void advance(Duration duration) {
+    long targetNanos = nowNanos + duration.toNanos();
+    while (!entries.isEmpty() && entries.peek().dueNanos <= targetNanos) {
+      runNext();
+    }
+    nowNanos = targetNanos;
+  }
+
+  /** Moves time to the next callback and runs it; returns false if none is pending. */
+  public boolean advanceToNext() {
+    if (entries.isEmpty()) {
+      return false;
+    }
+    runNext();
+    return true;
+  }
+
+  /** Returns the number of pending callbacks. */
+  public int pending() {
+    return entries.size();
+  }
+
+  private void runNext() {
+    Entry entry = entries.remove();
+    nowNanos = Math.max(nowNanos, entry.dueNanos);
+    if (entry.periodNanos > 0) {
+      entry.dueNanos += entry.periodNanos;
+      entry.order = nextOrder++;
+      entries.add(entry);
+    }
+    entry.callback.run();
+  }
+
+  private TimerSubscription add(Duration delay, long periodNanos, Runnable callback) {
+    Entry entry = new Entry();
+    entry.dueNanos = nowNanos + Math.max(0, delay.toNanos());
+    entry.order = nextOrder++;
+    entry.periodNanos = periodNanos;
+    entry.callback = callback;
+    entries.add(entry);
+    return () -> entries.remove(entry);
+  }
+
+  private static final class Entry {
+    private long dueNanos;
+    private long order;
+    private long periodNanos;
+    private Runnable callback;
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Peers of the entry VMs and the peer protocol. */
+package org.lovagerack.membership;
--- /dev/null
+++ b/notes/src/main/java/org/lovagerack/notes/Withdrawals.java
@@ -0,0 +1,24 @@
+package org.lovagerack.notes;
+
+import java.util.List;
+
+/**
+ * What a release note withdraws.
+ *
+ * @param services names of services
+ * @param upstreams addresses of upstreams
+ * @param teams names of teams
+ */
+public record Withdrawals(List<String> services, List<String> upstreams, List<String> teams) {
+
+  public Withdrawals {
+    services = List.copyOf(services);
+    upstreams = List.copyOf(upstreams);
+    teams = List.copyOf(teams);
+  }
+
+  /** Returns withdrawals of nothing. */
+  public static Withdrawals none() {
+    return new Withdrawals(List.of(), List.of(), List.of());
+  }
+}
--- /dev/null
+++ b/notes/src/main/java/org/lovagerack/notes/package-info.java
@@ -0,0 +1,2 @@
+/** Release notes and the deployment in force. */
+package org.lovagerack.notes;
--- /dev/null
+++ b/operator/src/main/java/org/lovagerack/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The command line lovagerack. */
+package org.lovagerack.operator;
--- /dev/null
+++ b/standins/src/main/java/org/lovagerack/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the platform and of upstreams. */
+package org.lovagerack.standins;
--- /dev/null
+++ b/submission/src/main/java/org/lovagerack/submission/package-info.java
@@ -0,0 +1,2 @@
+/** Submission identifiers, ledger and job lifecycle. */
+package org.lovagerack.submission;
