--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for callers and operators. */
+package org.lovagerack.daemon.http;
--- a/daemon/src/main/java/org/lovagerack/daemon/package-info.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/package-info.java
@@ -1,2 +1,2 @@
-/** The entry daemon lovagerackd. */
+/** The entry daemon {@code lovagerackd}: start, wiring and shutdown of one entry VM. */
 package org.lovagerack.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Attempts sent to upstreams over HTTP. */
+package org.lovagerack.daemon.upstream;
--- /dev/null
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/BlockingHttp.java
@@ -0,0 +1,75 @@
+package org.lovagerack.standins.demonstration;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Calls HTTP interfaces and waits for the answer. */
+final class BlockingHttp {
+
+  /** Status and body of an answer. */
+  record Reply(int status, String body) {
+
+    JsonObject json() {
+      return new JsonObject(body);
+    }
+  }
+
+  private static final int TIMEOUT_SECONDS = 40;
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int CONNECTIONS = 400;
+
+  private final HttpClient client;
+
+  BlockingHttp(Vertx vertx) {
+    client =
+        vertx.createHttpClient(
+            new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @throws IOException if no whole answer came
+   */
+  Reply call(
+      HttpMethod method, String address, String path, Map<String, String> headers, String body)
+      throws IOException, InterruptedException {
+    int colon = address.lastIndexOf(':');
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(address.substring(0, colon))
+            .setPort(Integer.parseInt(address.substring(colon + 1)))
+            .setURI(path);
+    headers.forEach(options::putHeader);
+    Future<Reply> reply =
+        client
+            .request(options)
+            .compose(request -> request.send(Buffer.buffer(body)))
+            .compose(
+                response ->
+                    response.body().map(data -> new Reply(response.statusCode(), data.toString())));
+    try {
+      return reply.toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IOException(method + " " + address + path + ": " + e.getMessage(), e);
+    }
+  }
+
+  Reply get(String address, String path) throws IOException, InterruptedException {
+    return call(HttpMethod.GET, address, path, Map.of(), "");
+  }
+}
