--- /dev/null
+++ b/submission/src/main/java/org/lovagerack/submission/JobObserver.java
@@ -0,0 +1,30 @@
+package org.lovagerack.submission;
+
+import java.time.Duration;
+import org.lovagerack.foundation.error.Failure;
+
+/** Receives the events that metrics, burn counts and logs are made of, on the event loop. */
+public interface JobObserver {
+
+  /** Identifiers were issued on request of a caller. */
+  void onIssued(int count);
+
+  /** A job was accepted. Called before any of its tasks is submitted. */
+  void onAccepted(SubmissionId id, JobRequest request);
+
+  /** A submission repeated an earlier one. */
+  void onDuplicate(SubmissionId id);
+
+  /**
+   * A submission was refused. Called again for each resubmission that gets the recorded refusal.
+   */
+  void onRefused(JobRequest request, Failure failure);
+
+  /**
+   * An accepted job finished.
+   *
+   * @param status completed or failed
+   * @param elapsed time since its submission arrived at this process
+   */
+  void onFinished(SubmissionId id, JobRequest request, JobStatus status, Duration elapsed);
+}
--- /dev/null
+++ b/submission/src/main/java/org/lovagerack/submission/JobValidator.java
@@ -0,0 +1,88 @@
+package org.lovagerack.submission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.Failure;
+
+/** Checks a job against the limits that hold regardless of load. */
+public final class JobValidator {
+
+  /** Largest number of tasks in a job. */
+  public static final int MAX_TASKS = 150;
+
+  private static final int MAX_NAME_LENGTH = 128;
+
+  /** Declared sizes are often wrong by ten times; only a larger error is taken as a fault. */
+  private static final long SIZE_TOLERANCE = 10;
+
+  /**
+   * Returns one failure that names every offending value, or empty if there is none. The kind is
+   * {@code TOO_MANY_TASKS} or {@code DEADLINE_PASSED} if that is the only problem.
+   */
+  public Optional<Failure> validate(JobRequest request) {
+    List<Problem> problems = new ArrayList<>();
+    checkName("service", request.service(), problems);
+    checkName("kind", request.kind(), problems);
+    checkName("team", request.team(), problems);
+    if (!request.timeLimit().isPositive()) {
+      problems.add(
+          new Problem(
+              ErrorKind.DEADLINE_PASSED,
+              "the time limit is " + request.timeLimit().toMillis() + " ms"));
+    }
+    checkTaskCount(request.tasks().size(), problems);
+    for (int i = 0; i < Math.min(MAX_TASKS, request.tasks().size()); i++) {
+      checkTask(i, request.tasks().get(i), problems);
+    }
+    return problems.isEmpty() ? Optional.empty() : Optional.of(failure(problems));
+  }
+
+  private static void checkName(String field, String name, List<Problem> problems) {
+    if (name.isEmpty()) {
+      malformed(field + " is empty", problems);
+    } else if (name.length() > MAX_NAME_LENGTH) {
+      malformed(
+          field + " has " + name.length() + " characters, at most " + MAX_NAME_LENGTH, problems);
+    }
+  }
+
+  private static void checkTaskCount(int count, List<Problem> problems) {
+    if (count == 0) {
+      malformed("the job has no tasks", problems);
+    } else if (count > MAX_TASKS) {
+      problems.add(
+          new Problem(
+              ErrorKind.TOO_MANY_TASKS, "the job has " + count + " tasks, at most " + MAX_TASKS));
+    }
+  }
+
+  private static void checkTask(int index, TaskRequest task, List<Problem> problems) {
+    if (!task.declaredRunTime().isPositive()) {
+      malformed(
+          "task " + index + " declares a run time of " + task.declaredRunTime().toMillis() + " ms",
+          problems);
+    }
+    long actual = task.body().length();
+    long declared = task.declaredBytes();
+    if (declared < 0
+        || declared / SIZE_TOLERANCE > Math.max(1, actual)
+        || actual / SIZE_TOLERANCE > Math.max(1, declared)) {
+      malformed(
+          "task " + index + " declares " + declared + " bytes, its body has " + actual, problems);
+    }
+  }
+
+  private static void malformed(String detail, List<Problem> problems) {
+    problems.add(new Problem(ErrorKind.MALFORMED_REQUEST, detail));
+  }
+
+  private static Failure failure(List<Problem> problems) {
+    ErrorKind kind = problems.size() == 1 ? problems.getFirst().kind : ErrorKind.MALFORMED_REQUEST;
+    String detail = String.join("; ", problems.stream().map(Problem::detail).toList());
+    return Failure.notRun(kind, detail);
+  }
+
+  private record Problem(ErrorKind kind, String detail) {}
+}
