--- a/daemon/src/main/java/org/lovagerack/daemon/http/Answer.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/answer/Answer.java
@@ -1,4 +1,4 @@
-package org.lovagerack.daemon.http;
+package org.lovagerack.daemon.answer;
 
 import java.util.Map;
 import org.lovagerack.foundation.data.Bytes;
@@ -12,14 +12,18 @@
  */
 public record Answer(int status, Map<String, String> headers, Bytes body) {
 
-  static final String CONTENT_TYPE = "Content-Type";
-  static final String JSON = "application/json";
+  /** Name of the header with the media type. */
+  public static final String CONTENT_TYPE = "Content-Type";
+
+  /** Media type of JSON. */
+  public static final String JSON = "application/json";
 
   public Answer {
     headers = Map.copyOf(headers);
   }
 
-  static Answer json(int status, String body) {
+  /** Returns an answer with a JSON body. */
+  public static Answer json(int status, String body) {
     return new Answer(status, Map.of(CONTENT_TYPE, JSON), Bytes.ofText(body));
   }
 }
--- a/daemon/src/main/java/org/lovagerack/daemon/http/ProblemJson.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/answer/ProblemJson.java
@@ -1,4 +1,4 @@
-package org.lovagerack.daemon.http;
+package org.lovagerack.daemon.answer;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -8,16 +8,18 @@
 import org.lovagerack.foundation.error.Failure;
 
 /** Renders failures as problem details (RFC 9457). */
-final class ProblemJson {
+public final class ProblemJson {
 
-  static final String MEDIA_TYPE = "application/problem+json";
+  /** Media type of problem details. */
+  public static final String MEDIA_TYPE = "application/problem+json";
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final long MILLIS_PER_SECOND = 1_000;
 
   private ProblemJson() {}
 
-  static ObjectNode node(Failure failure) {
+  /** Returns the problem as a JSON object. */
+  public static ObjectNode node(Failure failure) {
     ObjectNode node = MAPPER.createObjectNode();
     node.put("type", "urn:lovagerack:error:" + failure.kind().wireName());
     node.put("title", failure.kind().title());
@@ -29,7 +31,8 @@
     return node;
   }
 
-  static Answer answer(Failure failure) {
+  /** Returns the answer with the status, and with Retry-After if the failure has one. */
+  public static Answer answer(Failure failure) {
     Map<String, String> headers = new HashMap<>();
     headers.put(Answer.CONTENT_TYPE, MEDIA_TYPE);
     failure
@@ -38,9 +41,7 @@
             delay ->
                 headers.put(
                     "Retry-After",
-                    Long.toString(
-                        Math.max(1, Math.ceilDiv(delay.toMillis(), MILLIS_PER_SECOND)))));
-    return new Answer(
-        failure.kind().httpStatus(), headers, Bytes.ofText(node(failure).toString()));
+                    Long.toString(Math.max(1, Math.ceilDiv(delay.toMillis(), MILLIS_PER_SECOND)))));
+    return new Answer(failure.kind().httpStatus(), headers, Bytes.ofText(node(failure).toString()));
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/http/RouteGroup.java
@@ -0,0 +1,10 @@
+package org.lovagerack.daemon.http;
+
+import io.vertx.ext.web.Router;
+
+/** A group of HTTP routes. */
+public interface RouteGroup {
+
+  /** Adds the routes. */
+  void addTo(Router router);
+}
--- a/daemon/src/main/java/org/lovagerack/daemon/http/FieldReader.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/job/FieldReader.java
@@ -1,4 +1,4 @@
-package org.lovagerack.daemon.http;
+package org.lovagerack.daemon.job;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
--- a/daemon/src/main/java/org/lovagerack/daemon/http/JobJson.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/job/JobJson.java
@@ -1,4 +1,4 @@
-package org.lovagerack.daemon.http;
+package org.lovagerack.daemon.job;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.lovagerack.daemon.answer.ProblemJson;
 import org.lovagerack.foundation.data.Bytes;
 import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.error.Failure;
@@ -35,12 +36,18 @@
   private JobJson() {}
 
   /**
-   * Parses a job.
+   * Parses a job, or an urgent request, which has the fields of its one task in place of {@code
+   * tasks}.
    *
    * @throws LovagerackException of kind {@code MALFORMED_REQUEST}, naming every problem
    */
-  static JobRequest parseJob(Bytes body) throws LovagerackException {
-    FieldReader reader = new FieldReader(readObject(body), "");
+  static JobRequest parse(Bytes body) throws LovagerackException {
+    JsonNode node = readObject(body);
+    FieldReader reader = new FieldReader(node, "");
+    return node.has("tasks") ? parseJob(reader) : parseUrgentRequest(reader);
+  }
+
+  private static JobRequest parseJob(FieldReader reader) throws LovagerackException {
     String service = reader.text("service");
     String kind = reader.text("kind");
     String team = reader.text("team", DEFAULT_TEAM);
@@ -52,17 +59,10 @@
       tasks.add(parseTask(reader.child(taskNodes.get(i), "/tasks/" + i)));
     }
     reader.finish();
-    return new JobRequest(
-        service, kind, team, urgent, Duration.ofMillis(deadlineMillis), tasks);
+    return new JobRequest(service, kind, team, urgent, Duration.ofMillis(deadlineMillis), tasks);
   }
 
-  /**
-   * Parses a request of one urgent task.
-   *
-   * @throws LovagerackException of kind {@code MALFORMED_REQUEST}, naming every problem
-   */
-  static JobRequest parseUrgentRequest(Bytes body) throws LovagerackException {
-    FieldReader reader = new FieldReader(readObject(body), "");
+  private static JobRequest parseUrgentRequest(FieldReader reader) throws LovagerackException {
     String service = reader.text("service");
     String kind = reader.text("kind");
     String team = reader.text("team", DEFAULT_TEAM);
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics and log events of the parts. */
+package org.lovagerack.daemon.metrics;
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/OperatorRoutes.java
@@ -0,0 +1,158 @@
+package org.lovagerack.daemon.operator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import org.lovagerack.daemon.answer.Answer;
+import org.lovagerack.daemon.answer.ProblemJson;
+import org.lovagerack.daemon.http.HttpInterface;
+import org.lovagerack.daemon.http.RouteGroup;
+import org.lovagerack.daemon.peer.EntryVmDirectory;
+import org.lovagerack.daemon.peer.PeerSurvey;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.Failure;
+import org.lovagerack.foundation.error.LovagerackException;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.membership.generated.PeerProtocol.BurnCall;
+import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
+import org.lovagerack.membership.generated.PeerProtocol.InForceCall;
+import org.lovagerack.notes.NoteCodec;
+import org.lovagerack.notes.NotePublisher;
+import org.lovagerack.notes.Publication;
+
+/** Routes of operators; each needs the operator key. */
+public final class OperatorRoutes implements RouteGroup {
+
+  private static final EventLog LOG = new EventLog(OperatorRoutes.class);
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String PREFIX = "/v1/operator/";
+  private static final String BEARER = "Bearer ";
+  private static final Duration SURVEY_TIMEOUT = Duration.ofSeconds(2);
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+
+  private final byte[] operatorKey;
+  private final NotePublisher publisher;
+  private final InForceReport inForce;
+  private final BurnAnswers burn;
+  private final EntryVmDirectory directory;
+  private final PeerSurvey survey;
+  private final Runnable drain;
+
+  /**
+   * Creates the routes.
+   *
+   * @param operatorKey key that a call must carry
+   * @param publisher publishes release notes
+   * @param inForce reports what is in force
+   * @param burn reports service-level burn
+   * @param directory the other entry VMs
+   * @param survey asks them
+   * @param drain starts a planned stop
+   */
+  public OperatorRoutes(
+      String operatorKey,
+      NotePublisher publisher,
+      InForceReport inForce,
+      BurnAnswers burn,
+      EntryVmDirectory directory,
+      PeerSurvey survey,
+      Runnable drain) {
+    this.operatorKey = operatorKey.getBytes(StandardCharsets.UTF_8);
+    this.publisher = publisher;
+    this.inForce = inForce;
+    this.burn = burn;
+    this.directory = directory;
+    this.survey = survey;
+    this.drain = drain;
+  }
+
+  @Override
+  public void addTo(Router router) {
+    router.route(PREFIX + "*").handler(this::authorize);
+    router.post(PREFIX + "notes").handler(this::publish);
+    router.get(PREFIX + "in-force").handler(this::inForce);
+    router.get(PREFIX + "burn").handler(this::burn);
+    router.post(PREFIX + "drain").handler(this::drain);
+  }
+
+  private void authorize(RoutingContext context) {
+    String header = context.request().getHeader(HttpHeaders.AUTHORIZATION);
+    String key = header != null && header.startsWith(BEARER) ? header.substring(BEARER.length()) : "";
+    if (!MessageDigest.isEqual(key.getBytes(StandardCharsets.UTF_8), operatorKey)) {
+      LOG.write(LogEvent.OPERATOR_REJECTED, "path", context.request().path());
+      HttpInterface.send(
+          context,
+          ProblemJson.answer(
+              Failure.notRun(ErrorKind.UNAUTHORIZED, "Authorization must carry the operator key")));
+      return;
+    }
+    LOG.write(
+        LogEvent.OPERATOR_CALL,
+        "method",
+        context.request().method(),
+        "path",
+        context.request().path());
+    context.next();
+  }
+
+  private void publish(RoutingContext context) {
+    try {
+      publisher
+          .publish(NoteCodec.decode(HttpInterface.body(context).toText()))
+          .whenComplete(
+              (publication, failure) ->
+                  HttpInterface.send(
+                      context, failure == null ? published(publication) : rejected(failure)));
+    } catch (LovagerackException e) {
+      HttpInterface.send(context, ProblemJson.answer(e.failure()));
+    }
+  }
+
+  private static Answer published(Publication publication) {
+    return Answer.json(
+        OK,
+        MAPPER
+            .createObjectNode()
+            .put("revision", publication.revision())
+            .put("repeated", publication.repeated())
+            .toString());
+  }
+
+  private static Answer rejected(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof LovagerackException expected) {
+      return ProblemJson.answer(expected.failure());
+    }
+    LOG.write(LogEvent.UNEXPECTED_ERROR, cause, "call", "publish");
+    return ProblemJson.answer(
+        Failure.mayHaveRun(ErrorKind.PUBLISH_UNKNOWN, String.valueOf(cause.getMessage())));
+  }
+
+  private void inForce(RoutingContext context) {
+    survey.ask(
+        directory.all(),
+        CallRequest.newBuilder().setInForce(InForceCall.getDefaultInstance()).build(),
+        SURVEY_TIMEOUT,
+        outcomes -> HttpInterface.send(context, inForce.merge(outcomes)));
+  }
+
+  private void burn(RoutingContext context) {
+    survey.ask(
+        directory.all(),
+        CallRequest.newBuilder().setBurn(BurnCall.getDefaultInstance()).build(),
+        SURVEY_TIMEOUT,
+        outcomes -> HttpInterface.send(context, burn.merge(outcomes)));
+  }
+
+  private void drain(RoutingContext context) {
+    HttpInterface.send(context, Answer.json(ACCEPTED, "{\"state\":\"draining\"}"));
+    drain.run();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Calls of operators: publish, read back, drain, burn. */
+package org.lovagerack.daemon.operator;
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
@@ -0,0 +1,120 @@
+package org.lovagerack.daemon.peer;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.lovagerack.daemon.answer.Answer;
+import org.lovagerack.daemon.answer.ProblemJson;
+import org.lovagerack.daemon.job.JobCalls;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.Failure;
+import org.lovagerack.foundation.error.LovagerackException;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.membership.CallReply;
+import org.lovagerack.membership.PeerMessageHandler;
+import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
+import org.lovagerack.membership.generated.PeerProtocol.SubmitCall;
+import org.lovagerack.notes.CatchUpCodec;
+import org.lovagerack.notes.NoteCodec;
+import org.lovagerack.notes.NoteFollower;
+import org.lovagerack.submission.JobService;
+
+/** Answers the calls of other entry VMs. */
+public final class PeerCallHandler implements PeerMessageHandler {
+
+  private static final EventLog LOG = new EventLog(PeerCallHandler.class);
+  private static final int OK = 200;
+
+  private final JobCalls jobCalls;
+  private final JobService jobs;
+  private final HandoverCodec handovers;
+  private final NoteFollower notes;
+  private final Supplier<Answer> inForce;
+  private final Supplier<Answer> burn;
+
+  /**
+   * Creates a handler.
+   *
+   * @param jobCalls calls on jobs of this process
+   * @param jobs takes answers that are handed over
+   * @param handovers codec of handovers
+   * @param notes release notes in force here
+   * @param inForce what this process has in force
+   * @param burn burn counts of this process
+   */
+  public PeerCallHandler(
+      JobCalls jobCalls,
+      JobService jobs,
+      HandoverCodec handovers,
+      NoteFollower notes,
+      Supplier<Answer> inForce,
+      Supplier<Answer> burn) {
+    this.jobCalls = jobCalls;
+    this.jobs = jobs;
+    this.handovers = handovers;
+    this.notes = notes;
+    this.inForce = inForce;
+    this.burn = burn;
+  }
+
+  @Override
+  public void onCall(CallRequest request, CallReply reply) {
+    switch (request.getCallCase()) {
+      case SUBMIT -> submit(request.getSubmit(), reply);
+      case STATUS ->
+          jobCalls.status(
+              request.getStatus().getSubmissionId(),
+              Duration.ofMillis(request.getStatus().getWaitMillis()),
+              answer -> send(answer, reply));
+      case CANCEL ->
+          jobCalls.cancel(
+              request.getCancel().getSubmissionId(), answer -> send(answer, reply));
+      case NOTES ->
+          send(
+              Answer.json(
+                  OK,
+                  CatchUpCodec.encode(
+                      notes.catchUpAfter(request.getNotes().getAfterRevision()))),
+              reply);
+      case IN_FORCE -> send(inForce.get(), reply);
+      case BURN -> send(burn.get(), reply);
+      case ANSWER_HANDOVER -> {
+        handovers.decode(request.getAnswerHandover()).ifPresent(jobs::acceptHandover);
+        send(Answer.json(OK, "{}"), reply);
+      }
+      case CALL_NOT_SET ->
+          send(
+              ProblemJson.answer(
+                  Failure.mayHaveRun(ErrorKind.INVALID_FRAME, "the call is of an unknown kind")),
+              reply);
+    }
+  }
+
+  @Override
+  public void onNotePush(long revision, Bytes note) {
+    try {
+      notes.offer(revision, NoteCodec.decode(note.toText()));
+    } catch (LovagerackException e) {
+      LOG.write(
+          LogEvent.NOTE_REJECTED, "revision", revision, "detail", e.failure().detail());
+    }
+  }
+
+  private void submit(SubmitCall call, CallReply reply) {
+    Optional<Duration> wait =
+        call.getRemainingWaitMillis() > 0
+            ? Optional.of(Duration.ofMillis(call.getRemainingWaitMillis()))
+            : Optional.empty();
+    jobCalls.submitForwarded(
+        call.getSubmissionId(),
+        Bytes.copyOf(call.getBody().toByteArray()),
+        wait,
+        answer -> send(answer, reply));
+  }
+
+  private static void send(Answer answer, CallReply reply) {
+    reply.answer(answer.status(), answer.body());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCaller.java
@@ -0,0 +1,35 @@
+package org.lovagerack.daemon.peer;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.lovagerack.membership.CallOutcome;
+import org.lovagerack.membership.PeerNetwork;
+import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
+
+/**
+ * Calls to peers. The peer network is connected after construction, because it takes the handler of
+ * incoming calls, which itself needs this class.
+ */
+public final class PeerCaller {
+
+  private PeerNetwork network;
+
+  /** Sets the network. */
+  public void connect(PeerNetwork peerNetwork) {
+    network = peerNetwork;
+  }
+
+  /** Calls a peer; the callback receives the one outcome. */
+  void call(
+      String address,
+      long incarnation,
+      CallRequest request,
+      Duration timeout,
+      Consumer<CallOutcome> callback) {
+    if (network == null) {
+      callback.accept(new CallOutcome.NotSent("the peer network is not started"));
+    } else {
+      network.call(address, incarnation, request, timeout, callback);
+    }
+  }
+}
