--- a/notes/src/main/java/org/lovagerack/notes/Deployment.java
+++ b/notes/src/main/java/org/lovagerack/notes/Deployment.java
@@ -1,6 +1,7 @@
 package org.lovagerack.notes;
 
 import java.util.Map;
+import org.lovagerack.foundation.error.LovagerackException;
 
 /**
  * The state in force at one revision: the result of applying every release note up to it in order.
@@ -16,14 +17,26 @@
     Map<String, UpstreamDefinition> upstreams,
     Map<String, TeamQuota> teams) {
 
+  private static final Deployment EMPTY = new Deployment(0, Map.of(), Map.of(), Map.of());
+
   public Deployment {
-    services = Map.copyOf(services);
-    upstreams = Map.copyOf(upstreams);
-    teams = Map.copyOf(teams);
+    services = BucketMap.copyOf(services);
+    upstreams = BucketMap.copyOf(upstreams);
+    teams = BucketMap.copyOf(teams);
   }
 
   /** Returns the deployment before the first release note. */
   public static Deployment empty() {
-    return new Deployment(0, Map.of(), Map.of(), Map.of());
+    return EMPTY;
+  }
+
+  /**
+   * Returns the deployment of the next revision. It shares the unchanged parts with this one.
+   *
+   * @throws LovagerackException with {@code NOTE_INVALID} and every contradiction between the note
+   *     and this deployment or within the note
+   */
+  public Deployment apply(ReleaseNote note) throws LovagerackException {
+    return new NoteApplication(this, note).apply();
   }
 }
--- /dev/null
+++ b/standins/src/main/java/org/lovagerack/standins/PlatformState.java
@@ -0,0 +1,78 @@
+package org.lovagerack.standins;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lovagerack.platform.CommitResult;
+import org.lovagerack.platform.Condition;
+import org.lovagerack.platform.Row;
+import org.lovagerack.platform.Transaction;
+import org.lovagerack.platform.VmEntry;
+import org.lovagerack.platform.VmSnapshot;
+import org.lovagerack.platform.Write;
+
+/** Contents of the platform stand-in: table rows, objects and VM lists. */
+final class PlatformState {
+
+  private final TreeMap<String, Row> rows = new TreeMap<>();
+  private final Map<String, String> objects = new HashMap<>();
+  private final TreeMap<Long, VmSnapshot> listsByNanos = new TreeMap<>();
+  private long vmVersion;
+
+  Row read(String key) {
+    return rows.get(key);
+  }
+
+  List<Row> scan(String prefix, String after, int limit) {
+    List<Row> found = new ArrayList<>();
+    boolean fromPrefix = after.compareTo(prefix) < 0;
+    for (Row row : rows.tailMap(fromPrefix ? prefix : after, fromPrefix).values()) {
+      if (!row.key().startsWith(prefix) || found.size() == limit) {
+        break;
+      }
+      found.add(row);
+    }
+    return found;
+  }
+
+  CommitResult commit(Transaction transaction) {
+    for (Condition condition : transaction.conditions()) {
+      if (version(condition.key()) != condition.version()) {
+        return CommitResult.CONFLICT;
+      }
+    }
+    for (Write write : transaction.writes()) {
+      rows.put(write.key(), new Row(write.key(), version(write.key()) + 1, write.value()));
+    }
+    return CommitResult.COMMITTED;
+  }
+
+  private long version(String key) {
+    Row row = rows.get(key);
+    return row == null ? 0 : row.version();
+  }
+
+  String get(String name) {
+    return objects.get(name);
+  }
+
+  void put(String name, String contents) {
+    objects.put(name, contents);
+  }
+
+  void setVms(long nowNanos, List<VmEntry> entries) {
+    listsByNanos.put(nowNanos, new VmSnapshot(++vmVersion, entries));
+  }
+
+  /** Returns the list as it was at a time. */
+  VmSnapshot vms(long nanos) {
+    Map.Entry<Long, VmSnapshot> entry = listsByNanos.floorEntry(nanos);
+    if (entry == null) {
+      return new VmSnapshot(0, List.of());
+    }
+    listsByNanos.headMap(entry.getKey()).clear();
+    return entry.getValue();
+  }
+}
