--- a/notes/src/main/java/org/lovagerack/notes/JsonFields.java
+++ b/notes/src/main/java/org/lovagerack/notes/JsonFields.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.DoublePredicate;
 import java.util.function.Function;
 
 /**
@@ -176,7 +177,7 @@
     }
   }
 
-  private double number(String field, java.util.function.DoublePredicate allowed, String reason) {
+  private double number(String field, DoublePredicate allowed, String reason) {
     JsonNode node = required(field);
     if (node == null) {
       return 0;
--- /dev/null
+++ b/notes/src/main/java/org/lovagerack/notes/Publication.java
@@ -0,0 +1,9 @@
+package org.lovagerack.notes;
+
+/**
+ * An accepted release note.
+ *
+ * @param revision revision at which it is in force
+ * @param repeated whether the note had been accepted before this call
+ */
+public record Publication(long revision, boolean repeated) {}
