Add the membership module: peer view, peer network and heartbeats

Cause: entry VMs need to know their peers, to forward calls to the owner of a submission and to spread release notes and load. Change: MembershipView (decision code), PeerNetwork (Netty, length-prefixed protobuf, handshake with HMAC-SHA256), calls with a sealed outcome, heartbeats that are paced by their cost. The protocol gains KeepAlive, a heartbeat sequence number, numbered upstream names and compressed load updates. Ruled out: heartbeats in both directions of both connections of a pair (twice the traffic; the accepting side sends a 3-byte KeepAlive instead); WrongIncarnation from an established connection (the process at its other end may have been replaced unnoticed, so a connection made after the call decides).

--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/FrameEncoder.java
@@ -0,0 +1,28 @@
+package org.lovagerack.membership;
+
+import com.google.protobuf.CodedOutputStream;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.MessageToByteEncoder;
+import java.io.IOException;
+import org.lovagerack.membership.generated.PeerProtocol.Frame;
+
+/** Writes frames, each after its length as a varint. */
+final class FrameEncoder extends MessageToByteEncoder<Frame> {
+
+  /** Returns the bytes that a frame takes on the connection, with its length. */
+  static int encodedSize(Frame frame) {
+    int size = frame.getSerializedSize();
+    return CodedOutputStream.computeUInt32SizeNoTag(size) + size;
+  }
+
+  @Override
+  protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf output)
+      throws IOException {
+    output.ensureWritable(encodedSize(frame));
+    try (ByteBufOutputStream stream = new ByteBufOutputStream(output)) {
+      frame.writeDelimitedTo(stream);
+    }
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/IncomingConnections.java
@@ -0,0 +1,190 @@
+package org.lovagerack.membership;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.foundation.error.LovagerackException;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
+import org.lovagerack.membership.generated.PeerProtocol.CallResponse;
+import org.lovagerack.membership.generated.PeerProtocol.Frame;
+import org.lovagerack.membership.generated.PeerProtocol.Heartbeat;
+import org.lovagerack.membership.generated.PeerProtocol.KeepAlive;
+import org.lovagerack.membership.generated.PeerProtocol.NotePush;
+
+/** The accepted connections: heartbeats, notes and calls of peers. */
+final class IncomingConnections implements Connection.Owner {
+
+  /** The dialer closes an idle connection after 60 s; later than that it must have vanished. */
+  private static final Duration ABANDONED_AFTER = Duration.ofSeconds(90);
+
+  private static final Frame KEEP_ALIVE =
+      Frame.newBuilder().setKeepAlive(KeepAlive.getDefaultInstance()).build();
+  private static final EventLog LOG = new EventLog(IncomingConnections.class);
+
+  private final TimerService timer;
+  private final PeerNetworkSettings settings;
+  private final MembershipView view;
+  private final PeerMessageHandler handler;
+  private final Consumer<PeerIdentity> whenProven;
+  private final Map<Connection, Session> sessions = new LinkedHashMap<>();
+
+  /**
+   * @param whenProven runs when a connection is proven, after older incarnations were closed
+   */
+  IncomingConnections(
+      TimerService timer,
+      PeerNetworkSettings settings,
+      MembershipView view,
+      PeerMessageHandler handler,
+      Consumer<PeerIdentity> whenProven) {
+    this.timer = timer;
+    this.settings = settings;
+    this.view = view;
+    this.handler = handler;
+    this.whenProven = whenProven;
+  }
+
+  @Override
+  public void proven(Connection connection) {
+    PeerIdentity peer = connection.remote();
+    replaceOther(peer);
+    sessions.put(connection, new Session(new HeartbeatReader(settings.maxFrameBytes())));
+    whenProven.accept(peer);
+  }
+
+  /** Closes the connections of other incarnations on the address of a proven peer. */
+  void replaceOther(PeerIdentity current) {
+    for (Connection connection : List.copyOf(sessions.keySet())) {
+      PeerIdentity remote = connection.remote();
+      if (remote.address().equals(current.address())
+          && remote.incarnation() != current.incarnation()) {
+        connection.shut("another incarnation connected");
+      }
+    }
+  }
+
+  @Override
+  public void received(Connection connection, Frame frame) {
+    Session session = sessions.get(connection);
+    switch (frame.getMessageCase()) {
+      case HEARTBEAT -> heartbeat(connection, session, frame.getHeartbeat());
+      case CALL_REQUEST -> call(connection, session, frame.getCallRequest());
+      case NOTE_PUSH -> notePush(connection, frame.getNotePush());
+      case KEEP_ALIVE -> {}
+      default -> connection.reject(frame.getMessageCase() + " is not allowed in this direction");
+    }
+  }
+
+  @Override
+  public void ended(Connection connection, String reason) {
+    sessions.remove(connection);
+  }
+
+  /** Runs every second: shows callers that the connection works and closes silent connections. */
+  void tick() {
+    for (Map.Entry<Connection, Session> entry : List.copyOf(sessions.entrySet())) {
+      Connection connection = entry.getKey();
+      boolean ownDomain = isOwnDomain(connection);
+      long silentNanos = timer.nanoTime() - connection.lastHeardNanos();
+      boolean calls = entry.getValue().openCalls > 0;
+      if (ownDomain && silentNanos >= OutgoingLink.SILENT_AFTER.toNanos()) {
+        connection.shut("the connection is silent");
+      } else if (!calls && silentNanos >= ABANDONED_AFTER.toNanos()) {
+        connection.shut("the connection is abandoned");
+      } else if (ownDomain || calls) {
+        connection.send(KEEP_ALIVE);
+      }
+    }
+  }
+
+  /** Counts silence from now on; for use after a pause of this process. */
+  void restartSilence() {
+    sessions.keySet().forEach(Connection::restartSilence);
+  }
+
+  void close(String reason) {
+    List.copyOf(sessions.keySet()).forEach(connection -> connection.shut(reason));
+  }
+
+  private boolean isOwnDomain(Connection connection) {
+    return connection.remote().failureDomain().equals(settings.failureDomain());
+  }
+
+  private void heartbeat(Connection connection, Session session, Heartbeat heartbeat) {
+    if (!isOwnDomain(connection)) {
+      connection.reject("a heartbeat from another failure domain");
+      return;
+    }
+    try {
+      LocalStatus status = session.heartbeats.read(heartbeat);
+      PeerIdentity peer = connection.remote();
+      view.heard(peer.address(), peer.incarnation(), heartbeat.getSequence(), status);
+    } catch (LovagerackException e) {
+      connection.reject(e.getMessage());
+    }
+  }
+
+  private void notePush(Connection connection, NotePush push) {
+    if (!isOwnDomain(connection)) {
+      connection.reject("a release note from another failure domain");
+      return;
+    }
+    guarded(
+        () -> handler.onNotePush(push.getRevision(), Bytes.copyOf(push.getNote().toByteArray())));
+  }
+
+  private void call(Connection connection, Session session, CallRequest request) {
+    session.openCalls++;
+    guarded(
+        () ->
+            handler.onCall(
+                request,
+                (status, body) -> {
+                  Frame response = response(request.getNumber(), status, body);
+                  session.openCalls--;
+                  if (connection.usable()) {
+                    connection.send(response);
+                  }
+                }));
+  }
+
+  private Frame response(long number, int status, Bytes body) {
+    CallResponse response =
+        CallResponse.newBuilder()
+            .setNumber(number)
+            .setStatus(status)
+            .setBody(ByteString.copyFrom(body.toByteArray()))
+            .build();
+    Frame frame = Frame.newBuilder().setCallResponse(response).build();
+    if (frame.getSerializedSize() > settings.maxFrameBytes()) {
+      throw new IllegalArgumentException(
+          "an answer of " + body.length() + " bytes is over the limit of a frame");
+    }
+    return frame;
+  }
+
+  /** Keeps an error of the handler from ending the event loop's task half done. */
+  private static void guarded(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.write(LogEvent.UNEXPECTED_ERROR, e, "during", "a message of a peer");
+    }
+  }
+
+  private static final class Session {
+    private final HeartbeatReader heartbeats;
+    private int openCalls;
+
+    private Session(HeartbeatReader heartbeats) {
+      this.heartbeats = heartbeats;
+    }
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/LoadWriter.java
@@ -0,0 +1,74 @@
+package org.lovagerack.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lovagerack.membership.generated.PeerProtocol.LoadUpdate;
+
+/**
+ * Turns the attempts in flight into updates that are sent to all peers alike. Names are sent once
+ * and numbered; an update carries either all counts or only the changed ones, whichever is smaller
+ * after compression.
+ */
+final class LoadWriter {
+
+  /** Names of upstreams without attempts that are kept before the table is started again. */
+  private static final int MAX_IDLE_NAMES = 4_096;
+
+  private final Map<String, Integer> numbers = new HashMap<>();
+  private final List<String> names = new ArrayList<>();
+  private final List<Integer> counts = new ArrayList<>();
+
+  /** Returns the update that brings a receiver of all earlier ones up to date, if it needs one. */
+  Optional<CompressedLoads> update(Map<String, Integer> inFlight) {
+    boolean reset = names.size() > MAX_IDLE_NAMES + 2 * inFlight.size();
+    if (reset) {
+      numbers.clear();
+      names.clear();
+      counts.clear();
+    }
+    int knownNames = names.size();
+    inFlight.forEach(this::number);
+    LoadUpdate.Builder changes = LoadUpdate.newBuilder();
+    int previous = -1;
+    for (int number = 0; number < names.size(); number++) {
+      int count = inFlight.getOrDefault(names.get(number), 0);
+      if (counts.get(number) != count) {
+        counts.set(number, count);
+        changes.addChangedCounts(number - previous).addChangedCounts(count);
+        previous = number;
+      }
+    }
+    if (!reset && changes.getChangedCountsCount() == 0) {
+      return Optional.empty();
+    }
+    List<String> newNames = names.subList(knownNames, names.size());
+    changes.setReset(reset).addAllNewNames(newNames);
+    LoadUpdate all =
+        LoadUpdate.newBuilder()
+            .setReset(reset)
+            .addAllNewNames(newNames)
+            .addAllAllCounts(counts)
+            .build();
+    return Optional.of(CompressedLoads.of(changes.build()).orSmaller(CompressedLoads.of(all)));
+  }
+
+  /** Returns the update for a receiver that has received nothing, as of the last update. */
+  CompressedLoads snapshot() {
+    return CompressedLoads.of(
+        LoadUpdate.newBuilder()
+            .setReset(true)
+            .addAllNewNames(names)
+            .addAllAllCounts(counts)
+            .build());
+  }
+
+  private void number(String upstream, int count) {
+    if (count > 0 && numbers.putIfAbsent(upstream, names.size()) == null) {
+      names.add(upstream);
+      counts.add(0);
+    }
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/LocalStatus.java
@@ -0,0 +1,37 @@
+package org.lovagerack.membership;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What an entry VM tells the peers of its failure domain about itself.
+ *
+ * @param state whether it accepts new submissions
+ * @param revision applied revision of the deployment
+ * @param queuedTasks tasks that wait in the entry VM
+ * @param inFlight attempts in flight per upstream address; zero counts may be left out
+ * @param vmListVersion version of the newest VM list that it knows
+ * @param leavingUpstreams addresses of the upstreams that it knows to be leaving
+ */
+public record LocalStatus(
+    PeerState state,
+    long revision,
+    int queuedTasks,
+    Map<String, Integer> inFlight,
+    long vmListVersion,
+    Set<String> leavingUpstreams) {
+
+  public LocalStatus {
+    inFlight = Map.copyOf(inFlight);
+    leavingUpstreams = Set.copyOf(leavingUpstreams);
+  }
+
+  /** Returns the status of an entry VM that has not reported anything yet. */
+  public static LocalStatus initial() {
+    return new LocalStatus(PeerState.SERVING, 0, 0, Map.of(), 0, Set.of());
+  }
+
+  boolean idle() {
+    return inFlight.values().stream().allMatch(count -> count == 0);
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/MembershipView.java
@@ -0,0 +1,229 @@
+package org.lovagerack.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.foundation.timer.TimerService;
+
+/**
+ * The peers of the own failure domain: who is alive, with incarnation, load and revision. Not
+ * thread-safe: every call must come from the event loop that runs the timer's callbacks.
+ */
+public final class MembershipView {
+
+  /** Time without a heartbeat after which a peer is suspect. */
+  public static final Duration SUSPECT_AFTER = Duration.ofSeconds(3);
+
+  /** Time for which an unknown address stays suspect before it is forgotten. */
+  public static final Duration FORGET_AFTER = Duration.ofSeconds(60);
+
+  private static final EventLog LOG = new EventLog(MembershipView.class);
+
+  private final TimerService timer;
+  private String ownAddress = "";
+  private final Set<String> configured;
+  private Set<String> listed = Set.of();
+  private final Map<String, Entry> entries = new TreeMap<>();
+  private final PeerLoads loads = new PeerLoads();
+  private final List<MembershipListener> listeners = new ArrayList<>();
+
+  /**
+   * Creates a view without peers.
+   *
+   * @param timer source of time
+   * @param configured peer addresses from the settings
+   */
+  public MembershipView(TimerService timer, Set<String> configured) {
+    this.timer = timer;
+    this.configured = Set.copyOf(configured);
+  }
+
+  /** Adds a listener for later changes. */
+  public void addListener(MembershipListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Replaces the addresses of entry VMs that the platform's VM list names. */
+  public void knownAddresses(Set<String> addresses) {
+    listed = Set.copyOf(addresses);
+    for (Entry entry : List.copyOf(entries.values())) {
+      forgetIfDeparted(entry);
+    }
+  }
+
+  /** Returns every address to keep a connection to: known ones and those not yet forgotten. */
+  public Set<String> addresses() {
+    Set<String> addresses = new TreeSet<>(configured);
+    addresses.addAll(listed);
+    addresses.addAll(entries.keySet());
+    addresses.remove(ownAddress);
+    return Collections.unmodifiableSet(addresses);
+  }
+
+  /** Returns the known addresses that no live peer answers from. */
+  public Set<String> unreachableAddresses() {
+    Set<String> addresses = new TreeSet<>(addresses());
+    livePeers().forEach(peer -> addresses.remove(peer.address()));
+    return addresses;
+  }
+
+  /** Returns the peers that were ever heard from and not forgotten, in order of address. */
+  public List<Peer> peers() {
+    return entries.values().stream().map(entry -> entry.peer).toList();
+  }
+
+  /** Returns the peers that are not suspect, in order of address. */
+  public List<Peer> livePeers() {
+    return peers().stream().filter(peer -> !peer.suspect()).toList();
+  }
+
+  /** Returns the peer at an address, if it was ever heard from. */
+  public Optional<Peer> peer(String address) {
+    return Optional.ofNullable(entries.get(address)).map(entry -> entry.peer);
+  }
+
+  /** Returns the number of peers that take a share of the upstreams, without this entry VM. */
+  public int peersInShares() {
+    return (int) entries.values().stream().filter(entry -> entry.peer.countedInShares()).count();
+  }
+
+  /** Returns the attempts in flight to an upstream that the peers in shares reported. */
+  public int attemptsOfPeers(String upstream) {
+    return loads.total(upstream);
+  }
+
+  /** Sets the address of this entry VM, which is never a peer. */
+  void setOwnAddress(String address) {
+    ownAddress = address;
+  }
+
+  /**
+   * Records a successful handshake. Another incarnation than the known one replaces it; whichever
+   * handshake succeeded last wins, because incarnations have no order.
+   */
+  void connected(String address, long incarnation) {
+    Entry entry = entries.get(address);
+    if (address.equals(ownAddress) || (entry != null && entry.peer.incarnation() == incarnation)) {
+      return;
+    }
+    Peer current = new Peer(address, incarnation, LocalStatus.initial(), false, timer.nanoTime());
+    if (entry == null) {
+      Entry added = new Entry(current);
+      entries.put(address, added);
+      watch(added);
+      notifyListeners(listener -> listener.joined(current));
+    } else {
+      Peer earlier = entry.peer;
+      entry.lastSequence = 0;
+      update(entry, current);
+      watch(entry);
+      notifyListeners(listener -> listener.replaced(earlier, current));
+    }
+  }
+
+  /**
+   * Records a heartbeat. One of another incarnation than the current one is ignored, and so is one
+   * that is not newer than the last (late or duplicated).
+   */
+  void heard(String address, long incarnation, long sequence, LocalStatus status) {
+    Entry entry = entries.get(address);
+    if (entry == null
+        || entry.peer.incarnation() != incarnation
+        || Long.compareUnsigned(sequence, entry.lastSequence) <= 0) {
+      return;
+    }
+    entry.lastSequence = sequence;
+    Peer earlier = entry.peer;
+    Peer current = earlier.heard(status, timer.nanoTime());
+    update(entry, current);
+    if (earlier.suspect()) {
+      watch(entry);
+      notifyListeners(listener -> listener.recovered(current));
+    }
+    if (earlier.status().revision() != status.revision()) {
+      notifyListeners(listener -> listener.revisionChanged(current));
+    }
+    if (!sameLoad(earlier.status(), status)) {
+      notifyListeners(listener -> listener.loadChanged(current));
+    }
+  }
+
+  private static boolean sameLoad(LocalStatus earlier, LocalStatus current) {
+    return earlier.state() == current.state()
+        && earlier.queuedTasks() == current.queuedTasks()
+        && earlier.vmListVersion() == current.vmListVersion()
+        && earlier.inFlight().equals(current.inFlight())
+        && earlier.leavingUpstreams().equals(current.leavingUpstreams());
+  }
+
+  private void update(Entry entry, Peer current) {
+    loads.replace(entry.peer, current);
+    entry.peer = current;
+  }
+
+  private void watch(Entry entry) {
+    entry.watchNumber++;
+    checkLater(entry, entry.watchNumber, SUSPECT_AFTER.toNanos());
+  }
+
+  private void checkLater(Entry entry, long watchNumber, long delayNanos) {
+    timer.after(
+        Duration.ofNanos(delayNanos),
+        () -> {
+          if (entry.watchNumber == watchNumber) {
+            check(entry, watchNumber);
+          }
+        });
+  }
+
+  private void check(Entry entry, long watchNumber) {
+    long silentNanos = timer.nanoTime() - entry.peer.lastHeardNanos();
+    if (silentNanos < SUSPECT_AFTER.toNanos()) {
+      checkLater(entry, watchNumber, SUSPECT_AFTER.toNanos() - silentNanos);
+      return;
+    }
+    Peer suspected = entry.peer.suspected();
+    update(entry, suspected);
+    entry.suspectSinceNanos = timer.nanoTime();
+    LOG.write(LogEvent.PEER_SUSPECT, "peer", suspected.address());
+    notifyListeners(listener -> listener.suspected(suspected));
+    timer.after(FORGET_AFTER, () -> forgetIfDeparted(entry));
+  }
+
+  private void forgetIfDeparted(Entry entry) {
+    String address = entry.peer.address();
+    boolean known = configured.contains(address) || listed.contains(address);
+    if (known
+        || !entry.peer.suspect()
+        || entries.get(address) != entry
+        || timer.nanoTime() - entry.suspectSinceNanos < FORGET_AFTER.toNanos()) {
+      return;
+    }
+    entries.remove(address);
+    notifyListeners(listener -> listener.forgotten(entry.peer));
+  }
+
+  private void notifyListeners(Consumer<MembershipListener> call) {
+    listeners.forEach(call);
+  }
+
+  private static final class Entry {
+    private Peer peer;
+    private long lastSequence;
+    private long watchNumber;
+    private long suspectSinceNanos;
+
+    private Entry(Peer peer) {
+      this.peer = peer;
+    }
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/OutgoingCall.java
@@ -0,0 +1,72 @@
+package org.lovagerack.membership;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.foundation.timer.TimerSubscription;
+import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
+
+/** A call from its start to its one outcome. */
+final class OutgoingCall {
+
+  private final long expectedIncarnation;
+  private final CallRequest request;
+  private final Consumer<CallOutcome> callback;
+  private final TimerSubscription timeout;
+  private long firstConclusiveDial;
+  private boolean sent;
+  private boolean completed;
+
+  OutgoingCall(
+      TimerService timer,
+      long expectedIncarnation,
+      CallRequest request,
+      Duration limit,
+      Consumer<CallOutcome> callback) {
+    this.expectedIncarnation = expectedIncarnation;
+    this.request = request;
+    this.callback = callback;
+    this.timeout = timer.after(limit, () -> fail("no answer within " + limit));
+  }
+
+  long expectedIncarnation() {
+    return expectedIncarnation;
+  }
+
+  CallRequest request() {
+    return request;
+  }
+
+  boolean completed() {
+    return completed;
+  }
+
+  /**
+   * Sets the first dial whose result may prove that the expected process is gone. The result of an
+   * earlier dial may be older than that process.
+   */
+  void conclusiveFrom(long dial) {
+    firstConclusiveDial = dial;
+  }
+
+  boolean concludedBy(long dial) {
+    return dial >= firstConclusiveDial;
+  }
+
+  void markSent() {
+    sent = true;
+  }
+
+  /** Ends the call without an answer: not sent, or unknown once it was handed to a connection. */
+  void fail(String reason) {
+    complete(sent ? new CallOutcome.Unknown(reason) : new CallOutcome.NotSent(reason));
+  }
+
+  void complete(CallOutcome outcome) {
+    if (!completed) {
+      completed = true;
+      timeout.cancel();
+      callback.accept(outcome);
+    }
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/lovagerack/membership/PeerState.java
@@ -0,0 +1,7 @@
+package org.lovagerack.membership;
+
+/** Whether an entry VM accepts new submissions. */
+public enum PeerState {
+  SERVING,
+  DRAINING
+}
--- /dev/null
+++ b/membership/src/test/java/org/lovagerack/membership/TestLoop.java
@@ -0,0 +1,43 @@
+package org.lovagerack.membership;
+
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.lovagerack.foundation.timer.DrivenTimer;
+
+/** The event loop of all nodes of a test; timer time passes only while a test waits or advances. */
+final class TestLoop implements AutoCloseable {
+
+  private static final Duration STEP = Duration.ofMillis(10);
+
+  final DrivenTimer timer = new DrivenTimer();
+  final ExecutorService executor = Executors.newSingleThreadExecutor();
+
+  <T> T get(Callable<T> action) throws Exception {
+    return executor.submit(action).get();
+  }
+
+  void run(Runnable action) throws Exception {
+    executor.submit(action).get();
+  }
+
+  /** Lets timer time pass until a condition holds; the JUnit timeout guards against hanging. */
+  void until(Callable<Boolean> condition) throws Exception {
+    while (!get(condition)) {
+      advance(STEP);
+    }
+  }
+
+  void advance(Duration duration) throws Exception {
+    for (Duration done = Duration.ZERO; done.compareTo(duration) < 0; done = done.plus(STEP)) {
+      run(() -> timer.advance(STEP));
+      Thread.sleep(2);
+    }
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+  }
+}
