--- a/membership/src/main/java/org/lovagerack/membership/OutgoingCall.java
+++ b/membership/src/main/java/org/lovagerack/membership/OutgoingCall.java
@@ -29,8 +29,9 @@
     this.timeout = timer.after(limit, () -> fail("no answer within " + limit));
   }
 
-  long expectedIncarnation() {
-    return expectedIncarnation;
+  boolean isMeantFor(long incarnation) {
+    return expectedIncarnation == PeerNetwork.ANY_INCARNATION
+        || expectedIncarnation == incarnation;
   }
 
   CallRequest request() {
--- a/membership/src/main/java/org/lovagerack/membership/OutgoingLink.java
+++ b/membership/src/main/java/org/lovagerack/membership/OutgoingLink.java
@@ -67,7 +67,7 @@
     lastUsedNanos = timer.nanoTime();
     if (connection != null
         && connection.usable()
-        && connection.remote().incarnation() == call.expectedIncarnation()) {
+        && call.isMeantFor(connection.remote().incarnation())) {
       outstanding.send(call, connection);
       return;
     }
@@ -214,7 +214,7 @@
 
   private void decideWaiting(long incarnation) {
     for (OutgoingCall call : takeWaiting()) {
-      if (call.expectedIncarnation() == incarnation && connection != null) {
+      if (call.isMeantFor(incarnation) && connection != null) {
         outstanding.send(call, connection);
       } else if (call.concludedBy(dials)) {
         call.complete(new CallOutcome.WrongIncarnation(incarnation));
--- a/membership/src/main/java/org/lovagerack/membership/PeerNetwork.java
+++ b/membership/src/main/java/org/lovagerack/membership/PeerNetwork.java
@@ -25,6 +25,9 @@
  */
 public final class PeerNetwork {
 
+  /** Addresses a call to whichever process has the address; no process draws this incarnation. */
+  public static final long ANY_INCARNATION = 0;
+
   private static final int FRAME_OVERHEAD_BYTES = 64;
 
   private static final Duration TICK = Duration.ofSeconds(1);
@@ -101,7 +104,7 @@
    * Calls the process at an address.
    *
    * @param address IP number and port
-   * @param expectedIncarnation incarnation that the call is meant for
+   * @param expectedIncarnation incarnation that the call is meant for, or {@link #ANY_INCARNATION}
    * @param request the call; its number is set by this method
    * @param timeout how long to wait for the answer
    * @param callback receives the one outcome
