Add the decision core of the dispatcher

Cause: the module had interfaces only.

Change: Dispatcher with queue, slot shares, routing, ejection, admission, retries, hedges, deadlines and pauses as a state machine on the timer service.

Ruled out: one timer subscription per task and attempt, because most are cancelled; the alarms share one subscription.

--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AdmissionControl.java
@@ -0,0 +1,133 @@
+package org.lovagerack.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.Failure;
+
+/** Refuses jobs that cannot be finished by their deadline, before any of their tasks is queued. */
+final class AdmissionControl {
+
+  private static final Duration LEAST_RETRY_AFTER = Duration.ofMillis(100);
+
+  private final AlarmQueue alarms;
+  private final UpstreamDirectory directory;
+  private final TeamQuotas quotas;
+  private final DispatchSettings settings;
+  private final DispatchObserver observer;
+
+  AdmissionControl(
+      AlarmQueue alarms,
+      UpstreamDirectory directory,
+      TeamQuotas quotas,
+      DispatchSettings settings,
+      DispatchObserver observer) {
+    this.alarms = alarms;
+    this.directory = directory;
+    this.quotas = quotas;
+    this.settings = settings;
+    this.observer = observer;
+  }
+
+  Optional<Failure> admit(JobShape job) {
+    Optional<Failure> refusal = decide(job);
+    refusal.ifPresent(failure -> observer.jobRefused(job.service(), job.team(), failure.kind()));
+    return refusal;
+  }
+
+  private Optional<Failure> decide(JobShape job) {
+    if (!directory.deployed()) {
+      return refuse(ErrorKind.NOT_READY, "no deployment is known yet");
+    }
+    ServiceState service = directory.service(job.service());
+    if (service == null) {
+      return refuse(ErrorKind.UNKNOWN_SERVICE, "service " + job.service() + " is not in force");
+    }
+    long remaining = job.deadlineNanos() - alarms.now();
+    if (remaining <= 0) {
+      return refuse(ErrorKind.DEADLINE_PASSED, "the deadline passed before the job was queued");
+    }
+    if (!service.pool().anyPresent()) {
+      return refuse(ErrorKind.NO_UPSTREAM, "service " + job.service() + " has no upstream");
+    }
+    Estimate estimate = estimate(service, job);
+    double fastest = estimate.longestWork * service.pool().fastestTimePerUnit();
+    if (fastest > remaining) {
+      return refuse(
+          ErrorKind.IMPOSSIBLE_JOB,
+          "a task takes about %s on the fastest upstream, %s are left"
+              .formatted(millis(fastest), millis((double) remaining)));
+    }
+    if (!quotas.hasRoom(job.team(), job.taskCount(), alarms.now())) {
+      return refuse(ErrorKind.QUOTA_EXCEEDED, "the quota of team " + job.team() + " is used up")
+          .map(failure -> failure.retryAfter(Duration.ofSeconds(1)));
+    }
+    int queued = service.queue().size();
+    int limit = service.definition().maxQueuedTasks();
+    if (queued + job.taskCount() > limit) {
+      return refuse(
+              ErrorKind.QUEUE_FULL,
+              "%d tasks of service %s wait, the limit is %d"
+                  .formatted(queued, job.service(), limit))
+          .map(failure -> failure.retryAfter(drainTime(service)));
+    }
+    return decideOnLoad(service, job, estimate, remaining);
+  }
+
+  private Optional<Failure> decideOnLoad(
+      ServiceState service, JobShape job, Estimate estimate, long remaining) {
+    double capacity = service.pool().capacity();
+    int freeSlots = service.pool().shareSlots() - service.releases().size();
+    boolean waits = service.queue().size() + job.taskCount() > freeSlots;
+    double work = estimate.longestWork + (job.taskCount() - 1) * estimate.typicalWork;
+    double before = service.queue().workBefore(job.urgent(), job.deadlineNanos());
+    double wait = waits ? (before + work - estimate.longestWork) / capacity : 0;
+    double meanTimePerUnit = service.pool().shareSlots() / capacity;
+    double finish = wait + estimate.longestWork * meanTimePerUnit;
+    boolean tooLate = waits && !(finish <= remaining * (1 - settings.admissionHeadroom()));
+    if (tooLate
+        || service
+            .queue()
+            .wouldMissLater(job.urgent(), job.deadlineNanos(), work, capacity, alarms.now())) {
+      return refuse(
+              ErrorKind.OVERLOADED,
+              "the job would finish in about %s, %s are left"
+                  .formatted(millis(finish), millis((double) remaining)))
+          .map(failure -> failure.retryAfter(drainTime(service)));
+    }
+    return Optional.empty();
+  }
+
+  private Estimate estimate(ServiceState service, JobShape job) {
+    RunTimeModel model = service.kind(job.kind());
+    Duration declared = job.longestDeclaredRunTime();
+    if (model.trusted(alarms.now())) {
+      double longest = model.meanWork(declared);
+      return new Estimate(longest, job.taskCount() == 1 ? longest : model.typicalWork());
+    }
+    // A refusal needs evidence: a declared run time may be too long by the given factor.
+    double least = model.meanWork(declared) / settings.declaredErrorFactor();
+    return new Estimate(least, least);
+  }
+
+  /** Returns the time until the present queue is started. */
+  private static Duration drainTime(ServiceState service) {
+    double capacity = service.pool().capacity();
+    if (capacity <= 0) {
+      return Duration.ofSeconds(1);
+    }
+    Duration drain =
+        Duration.ofNanos((long) (service.queue().workBefore(false, Long.MAX_VALUE) / capacity));
+    return drain.compareTo(LEAST_RETRY_AFTER) < 0 ? LEAST_RETRY_AFTER : drain;
+  }
+
+  private static Optional<Failure> refuse(ErrorKind kind, String detail) {
+    return Optional.of(Failure.notRun(kind, detail));
+  }
+
+  private static String millis(double nanos) {
+    return Math.round(nanos / 1e6) + " ms";
+  }
+
+  private record Estimate(double longestWork, double typicalWork) {}
+}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AlarmQueue.java
@@ -0,0 +1,93 @@
+package org.lovagerack.dispatch;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.foundation.timer.TimerSubscription;
+
+/**
+ * Alarms at points in time, on a single timer subscription. Most alarms are cancelled before they
+ * are due, and subscriptions of the timer service may be costly to cancel.
+ */
+final class AlarmQueue {
+
+  private final TimerService timer;
+  private final TreeSet<Alarm> alarms =
+      new TreeSet<>(
+          Comparator.comparingLong((Alarm alarm) -> alarm.dueNanos)
+              .thenComparingLong(alarm -> alarm.order));
+  private TimerSubscription subscription;
+  private long subscribedNanos;
+  private long nextOrder;
+  private boolean running;
+
+  AlarmQueue(TimerService timer) {
+    this.timer = timer;
+  }
+
+  long now() {
+    return timer.nanoTime();
+  }
+
+  Alarm at(long dueNanos, Runnable action) {
+    Alarm alarm = new Alarm(dueNanos, nextOrder++, action);
+    alarms.add(alarm);
+    if (!running) {
+      subscribe();
+    }
+    return alarm;
+  }
+
+  Alarm after(Duration delay, Runnable action) {
+    return at(now() + delay.toNanos(), action);
+  }
+
+  /** Cancels an alarm; does nothing if it is null or has already rung. */
+  void cancel(Alarm alarm) {
+    if (alarm != null) {
+      alarms.remove(alarm);
+    }
+  }
+
+  private void ring() {
+    subscription = null;
+    running = true;
+    try {
+      while (!alarms.isEmpty() && alarms.first().dueNanos <= now()) {
+        alarms.pollFirst().action.run();
+      }
+    } finally {
+      running = false;
+      subscribe();
+    }
+  }
+
+  private void subscribe() {
+    if (alarms.isEmpty()) {
+      return;
+    }
+    long dueNanos = alarms.first().dueNanos;
+    if (subscription != null) {
+      if (subscribedNanos <= dueNanos) {
+        return;
+      }
+      subscription.cancel();
+    }
+    subscribedNanos = dueNanos;
+    subscription = timer.after(Duration.ofNanos(Math.max(0, dueNanos - now())), this::ring);
+  }
+
+  /** A pending alarm. */
+  static final class Alarm {
+    private final long dueNanos;
+    private final long order;
+    private final Runnable action;
+
+    private Alarm(long dueNanos, long order, Runnable action) {
+      this.dueNanos = dueNanos;
+      this.order = order;
+      this.action = action;
+    }
+  }
+}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AttemptState.java
@@ -0,0 +1,122 @@
+package org.lovagerack.dispatch;
+
+/** One attempt that was handed to the transport. */
+final class AttemptState {
+
+  private final TaskState task;
+  private final UpstreamState upstream;
+  private final StartReason reason;
+  private final long id;
+  private final long startedNanos;
+  private final double expectedNanos;
+  private final boolean freshConnection;
+  private Attempt handle;
+  private AlarmQueue.Alarm check;
+  private boolean done;
+  private boolean overdue;
+  private boolean mayHedge = true;
+  private long hedgePostponedNanos;
+  private final boolean learned;
+
+  // Changed only by the set of expected releases, whose order depends on it.
+  long expectedFinishNanos;
+
+  AttemptState(
+      TaskState task,
+      UpstreamState upstream,
+      StartReason reason,
+      long id,
+      long startedNanos,
+      double expectedNanos) {
+    this.task = task;
+    this.upstream = upstream;
+    this.reason = reason;
+    this.id = id;
+    this.startedNanos = startedNanos;
+    this.expectedNanos = expectedNanos;
+    this.expectedFinishNanos = startedNanos + (long) expectedNanos;
+    this.freshConnection = upstream.suspect();
+    this.learned = task.service().kind(task.spec().kind()).learned();
+  }
+
+  TaskState task() {
+    return task;
+  }
+
+  UpstreamState upstream() {
+    return upstream;
+  }
+
+  StartReason reason() {
+    return reason;
+  }
+
+  long id() {
+    return id;
+  }
+
+  long startedNanos() {
+    return startedNanos;
+  }
+
+  double expectedNanos() {
+    return expectedNanos;
+  }
+
+  boolean freshConnection() {
+    return freshConnection;
+  }
+
+  Attempt handle() {
+    return handle;
+  }
+
+  void setHandle(Attempt value) {
+    handle = value;
+  }
+
+  AlarmQueue.Alarm check() {
+    return check;
+  }
+
+  void setCheck(AlarmQueue.Alarm alarm) {
+    check = alarm;
+  }
+
+  boolean done() {
+    return done;
+  }
+
+  void finish() {
+    done = true;
+  }
+
+  boolean overdue() {
+    return overdue;
+  }
+
+  void markOverdue() {
+    overdue = true;
+  }
+
+  /** Returns whether the expected run time was learned, not only declared. */
+  boolean learned() {
+    return learned;
+  }
+
+  boolean mayHedge() {
+    return mayHedge;
+  }
+
+  void stopHedging() {
+    mayHedge = false;
+  }
+
+  long hedgePostponedNanos() {
+    return hedgePostponedNanos;
+  }
+
+  void postponeHedge(long untilNanos) {
+    hedgePostponedNanos = untilNanos;
+  }
+}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/DispatchObserver.java
@@ -0,0 +1,56 @@
+package org.lovagerack.dispatch;
+
+import java.time.Duration;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Receives what the dispatcher does, for metrics and log events. Every method may do nothing. */
+public interface DispatchObserver {
+
+  /** Returns an observer that ignores everything. */
+  static DispatchObserver none() {
+    return new DispatchObserver() {};
+  }
+
+  /** An attempt was handed to the transport after its task waited for {@code queued}. */
+  default void attemptStarted(
+      String service, String upstream, StartReason reason, Duration queued) {}
+
+  /** An upstream answered. */
+  default void attemptAnswered(String service, String upstream, int status, Duration runTime) {}
+
+  /** An attempt was provably not sent. */
+  default void attemptNotSent(String service, String upstream, String reason) {}
+
+  /** An attempt was lost, or given up after the service's longest run time. */
+  default void attemptLost(String service, String upstream, String reason) {}
+
+  /** An attempt was cancelled because its task ended. */
+  default void attemptCancelled(String service, String upstream) {}
+
+  /** A task returned to the queue for another attempt. */
+  default void taskRetried(String service, String taskKey) {}
+
+  /** A retry was not done because the budget of the service is used up. */
+  default void retryBudgetExhausted(String service) {}
+
+  /** An attempt is overdue, so its connection may be silent. */
+  default void connectionSuspect(String service, String upstream) {}
+
+  /** An upstream was ejected for a period. */
+  default void upstreamEjected(String service, String upstream, Duration period) {}
+
+  /** An ejected upstream takes tasks again. */
+  default void upstreamReadmitted(String service, String upstream) {}
+
+  /** An upstream gets no new tasks because it is leaving. */
+  default void upstreamLeaving(String upstream) {}
+
+  /** A job was refused. */
+  default void jobRefused(String service, String team, ErrorKind kind) {}
+
+  /** A task ended without any attempt that may have run. */
+  default void taskNotRun(String service, ErrorKind kind) {}
+
+  /** Starts are held after a process pause. */
+  default void startsHeld(Duration period) {}
+}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/ExpectedReleases.java
@@ -0,0 +1,117 @@
+package org.lovagerack.dispatch;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/** Attempts in flight of one service in order of the time at which their slot is expected free. */
+final class ExpectedReleases {
+
+  // An attempt that is late by its estimate is expected to take this share of its age longer.
+  private static final double LATE_SHARE = 0.5;
+  private static final long LEAST_LATE_NANOS = 1_000_000;
+
+  private final TreeSet<AttemptState> attempts =
+      new TreeSet<>(
+          Comparator.comparingLong((AttemptState attempt) -> attempt.expectedFinishNanos)
+              .thenComparingLong(AttemptState::id));
+
+  void add(AttemptState attempt) {
+    attempts.add(attempt);
+  }
+
+  void remove(AttemptState attempt) {
+    attempts.remove(attempt);
+  }
+
+  int size() {
+    return attempts.size();
+  }
+
+  /** Returns the first expected releases on upstreams that accept tasks, at most {@code limit}. */
+  Forecast forecast(int limit, long nowNanos) {
+    postponeLate(nowNanos);
+    Forecast forecast = new Forecast(Math.min(limit, attempts.size()), nowNanos);
+    for (AttemptState attempt : attempts) {
+      if (forecast.full()) {
+        break;
+      }
+      UpstreamState upstream = attempt.upstream();
+      if (upstream.present()
+          && upstream.health().accepting()
+          && upstream.ownInFlight() <= upstream.usableSlots()) {
+        forecast.add(attempt.expectedFinishNanos, upstream);
+      }
+    }
+    return forecast;
+  }
+
+  private void postponeLate(long nowNanos) {
+    while (!attempts.isEmpty() && attempts.first().expectedFinishNanos <= nowNanos) {
+      AttemptState attempt = attempts.pollFirst();
+      long age = nowNanos - attempt.startedNanos();
+      attempt.expectedFinishNanos =
+          nowNanos + Math.max(LEAST_LATE_NANOS, (long) (LATE_SHARE * age));
+      attempts.add(attempt);
+    }
+  }
+
+  /** Releases that tasks earlier in the queue have not claimed yet. */
+  static final class Forecast {
+
+    private final long nowNanos;
+    private final long[] releaseNanos;
+    private final UpstreamState[] upstreams;
+    private int size;
+    private long firstClaimedNanos = Long.MAX_VALUE;
+
+    private Forecast(int capacity, long nowNanos) {
+      this.nowNanos = nowNanos;
+      this.releaseNanos = new long[capacity];
+      this.upstreams = new UpstreamState[capacity];
+    }
+
+    private boolean full() {
+      return size == releaseNanos.length;
+    }
+
+    private void add(long nanos, UpstreamState upstream) {
+      releaseNanos[size] = nanos;
+      upstreams[size] = upstream;
+      size++;
+    }
+
+    /**
+     * Claims the release with which {@code work} would finish first, if that is sooner than {@code
+     * otherwiseNanos} from now.
+     */
+    boolean claimIfSooner(double work, double otherwiseNanos, UpstreamState avoided) {
+      double soonest = otherwiseNanos;
+      int best = -1;
+      for (int i = 0; i < size; i++) {
+        double wait = releaseNanos[i] - nowNanos;
+        if (wait >= soonest) {
+          break;
+        }
+        if (upstreams[i] == null || upstreams[i] == avoided) {
+          continue;
+        }
+        double finish = wait + work * upstreams[i].speed().timePerUnit();
+        if (finish < soonest) {
+          soonest = finish;
+          best = i;
+        }
+      }
+      if (best < 0) {
+        return false;
+      }
+      upstreams[best] = null;
+      firstClaimedNanos = Math.min(firstClaimedNanos, releaseNanos[best]);
+      return true;
+    }
+
+    /** Returns the time of the first claimed release, or the largest value if there is none. */
+    long firstClaimedNanos() {
+      return firstClaimedNanos;
+    }
+  }
+}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/TaskQueue.java
@@ -0,0 +1,80 @@
+package org.lovagerack.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+
+/**
+ * Tasks of one service that wait for a slot: urgent ones first, then by deadline, and among equal
+ * deadlines (the tasks of a job) the longest first.
+ */
+final class TaskQueue {
+
+  private static final Comparator<TaskState> ORDER =
+      Comparator.comparing((TaskState task) -> !task.spec().urgent())
+          .thenComparingLong(task -> task.spec().deadlineNanos())
+          .thenComparing(task -> task.spec().declaredRunTime(), Comparator.reverseOrder())
+          .thenComparingLong(TaskState::order);
+
+  private final TreeSet<TaskState> tasks = new TreeSet<>(ORDER);
+  private final DeadlineProfile urgent = new DeadlineProfile();
+  private final DeadlineProfile normal = new DeadlineProfile();
+
+  void add(TaskState task, long nowNanos) {
+    task.enterQueue(nowNanos);
+    tasks.add(task);
+    profile(task.spec().urgent()).add(task.spec().deadlineNanos(), task.work());
+  }
+
+  /** Removes a task; does nothing if it is not queued. */
+  void remove(TaskState task) {
+    if (!task.queued()) {
+      return;
+    }
+    tasks.remove(task);
+    task.leaveQueue();
+    profile(task.spec().urgent()).remove(task.spec().deadlineNanos(), task.work());
+  }
+
+  int size() {
+    return tasks.size();
+  }
+
+  boolean isEmpty() {
+    return tasks.isEmpty();
+  }
+
+  /** Returns the first tasks, at most {@code limit}. */
+  List<TaskState> first(int limit) {
+    List<TaskState> first = new ArrayList<>(Math.min(limit, tasks.size()));
+    for (TaskState task : tasks) {
+      if (first.size() == limit) {
+        break;
+      }
+      first.add(task);
+    }
+    return first;
+  }
+
+  List<TaskState> all() {
+    return List.copyOf(tasks);
+  }
+
+  /** Returns the queued work that goes before a new task. */
+  double workBefore(boolean urgentTask, long deadlineNanos) {
+    double sameClass = profile(urgentTask).dueBy(deadlineNanos);
+    return urgentTask ? sameClass : sameClass + urgent.total();
+  }
+
+  /** Returns whether new work would make a queued task of its class miss its deadline. */
+  boolean wouldMissLater(
+      boolean urgentTask, long deadlineNanos, double work, double capacity, long nowNanos) {
+    double before = urgentTask ? 0 : urgent.total();
+    return profile(urgentTask).wouldMissLater(deadlineNanos, work, before, capacity, nowNanos);
+  }
+
+  private DeadlineProfile profile(boolean urgentTask) {
+    return urgentTask ? urgent : normal;
+  }
+}
--- /dev/null
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
@@ -0,0 +1,180 @@
+package org.lovagerack.dispatch;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * The upstreams of one service. Those with a free slot are kept in order of rank, so that a routing
+ * decision looks at the first ones only.
+ */
+final class UpstreamPool {
+
+  private static final Comparator<UpstreamState> BY_RANK =
+      Comparator.comparingDouble((UpstreamState upstream) -> upstream.rank)
+          .thenComparingInt(UpstreamState::index);
+
+  private final Set<UpstreamState> members = new LinkedHashSet<>();
+  private final TreeSet<UpstreamState> free = new TreeSet<>(BY_RANK);
+  private final TreeSet<UpstreamState> belowShare = new TreeSet<>(BY_RANK);
+  private final Set<UpstreamState> probeDue = new LinkedHashSet<>();
+  private double capacity;
+  private int shareSlots;
+
+  void add(UpstreamState upstream) {
+    members.add(upstream);
+    update(upstream);
+  }
+
+  void remove(UpstreamState upstream) {
+    members.remove(upstream);
+    update(upstream);
+  }
+
+  Collection<UpstreamState> members() {
+    return members;
+  }
+
+  /** Brings the position of an upstream up to date after any change of it. */
+  void update(UpstreamState upstream) {
+    boolean usable =
+        members.contains(upstream) && upstream.present() && upstream.health().accepting();
+    double rank = upstream.currentRank();
+    boolean nowFree = usable && upstream.hasFreeSlot();
+    boolean nowBelowShare = usable && !nowFree && upstream.belowEqualShare();
+    if (rank != upstream.rank
+        || nowFree != upstream.ranked
+        || nowBelowShare != upstream.guaranteed) {
+      reposition(upstream, rank, nowFree, nowBelowShare);
+    }
+    updateCapacity(upstream, usable ? Math.max(0, upstream.usableSlots()) : 0);
+    boolean probe =
+        members.contains(upstream)
+            && upstream.present()
+            && upstream.health().state() == UpstreamHealth.State.PROBE_DUE
+            && upstream.hasFreeSlot();
+    if (probe) {
+      probeDue.add(upstream);
+    } else {
+      probeDue.remove(upstream);
+    }
+  }
+
+  boolean hasFree() {
+    return !free.isEmpty();
+  }
+
+  /** Returns the free upstream of the best rank that is accepted, or null. */
+  UpstreamState bestFree(Predicate<UpstreamState> accepted) {
+    for (UpstreamState upstream : free) {
+      if (accepted.test(upstream)) {
+        return upstream;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Returns the upstream of the best rank on which the peers' reports leave no slot but this entry
+   * VM is below its equal share, or null.
+   */
+  UpstreamState bestBelowShare() {
+    return belowShare.isEmpty() ? null : belowShare.first();
+  }
+
+  /** Returns an upstream that waits for a probe, or null. */
+  UpstreamState nextProbe() {
+    return probeDue.isEmpty() ? null : probeDue.iterator().next();
+  }
+
+  /** Returns the units of work that the usable slots finish in one unit of time. */
+  double capacity() {
+    return capacity;
+  }
+
+  /** Returns the slots that this entry VM may use. */
+  int shareSlots() {
+    return shareSlots;
+  }
+
+  boolean anyPresent() {
+    for (UpstreamState upstream : members) {
+      if (upstream.present()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  int presentCount() {
+    return count(UpstreamState::present);
+  }
+
+  int ejectedCount() {
+    return count(upstream -> upstream.present() && !upstream.health().accepting());
+  }
+
+  /** Returns the mean logarithmic time per unit of all members. */
+  double meanLogTimePerUnit() {
+    double sum = 0;
+    for (UpstreamState upstream : members) {
+      sum += upstream.speed().logTimePerUnit();
+    }
+    return members.isEmpty() ? 0 : sum / members.size();
+  }
+
+  /** Returns the smallest time per unit of the upstreams that are present. */
+  double fastestTimePerUnit() {
+    double fastest = Double.POSITIVE_INFINITY;
+    for (UpstreamState upstream : members) {
+      if (upstream.present()) {
+        fastest = Math.min(fastest, upstream.speed().timePerUnit());
+      }
+    }
+    return fastest;
+  }
+
+  /** Sums the capacity again, which removes accumulated rounding errors. */
+  void recalculateCapacity() {
+    capacity = 0;
+    for (UpstreamState upstream : members) {
+      capacity += upstream.capacity;
+    }
+  }
+
+  private int count(Predicate<UpstreamState> condition) {
+    int count = 0;
+    for (UpstreamState upstream : members) {
+      if (condition.test(upstream)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  private void reposition(
+      UpstreamState upstream, double rank, boolean nowFree, boolean nowBelowShare) {
+    free.remove(upstream);
+    belowShare.remove(upstream);
+    upstream.rank = rank;
+    upstream.ranked = nowFree;
+    upstream.guaranteed = nowBelowShare;
+    if (nowFree) {
+      free.add(upstream);
+    }
+    if (nowBelowShare) {
+      belowShare.add(upstream);
+    }
+  }
+
+  private void updateCapacity(UpstreamState upstream, int slots) {
+    double newCapacity = slots / upstream.speed().timePerUnit();
+    capacity += newCapacity - upstream.capacity;
+    shareSlots += slots - upstream.shareSlots;
+    upstream.capacity = newCapacity;
+    upstream.shareSlots = slots;
+  }
+}
--- a/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
@@ -16,6 +16,7 @@
   DEADLINE_PASSED(422, 5, Guarantee.NOT_RUN, "The deadline has passed already"),
   IMPOSSIBLE_JOB(422, 5, Guarantee.NOT_RUN, "No upstream could finish a task by the deadline"),
   OVERLOADED(503, 6, Guarantee.NOT_RUN, "There is no capacity for the job before its deadline"),
+  QUEUE_FULL(503, 6, Guarantee.NOT_RUN, "The queue of the service is full"),
   QUOTA_EXCEEDED(429, 6, Guarantee.NOT_RUN, "The quota of the team is used up"),
   NO_UPSTREAM(503, 6, Guarantee.NOT_RUN, "The service has no upstream that accepts tasks"),
   DRAINING(503, 6, Guarantee.NOT_RUN, "The entry VM is stopping"),
