--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
@@ -0,0 +1,304 @@
+package org.lovagerack.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.lovagerack.daemon.http.CallerRoutes;
+import org.lovagerack.daemon.http.HealthRoutes;
+import org.lovagerack.daemon.http.HttpInterface;
+import org.lovagerack.daemon.job.JobCalls;
+import org.lovagerack.daemon.metrics.DispatchMetrics;
+import org.lovagerack.daemon.metrics.JobMetrics;
+import org.lovagerack.daemon.operator.BurnAnswers;
+import org.lovagerack.daemon.operator.InForceReport;
+import org.lovagerack.daemon.operator.OperatorRoutes;
+import org.lovagerack.daemon.peer.EntryVmDirectory;
+import org.lovagerack.daemon.peer.HandoverCodec;
+import org.lovagerack.daemon.peer.HandoverSender;
+import org.lovagerack.daemon.peer.PeerCallHandler;
+import org.lovagerack.daemon.peer.PeerCaller;
+import org.lovagerack.daemon.peer.PeerNoteSource;
+import org.lovagerack.daemon.peer.PeerOwnerCalls;
+import org.lovagerack.daemon.peer.PeerSurvey;
+import org.lovagerack.daemon.timer.EventLoopTimer;
+import org.lovagerack.daemon.timer.PauseDetector;
+import org.lovagerack.daemon.upstream.HttpUpstreamTransport;
+import org.lovagerack.daemon.vmlist.VmListFollower;
+import org.lovagerack.daemon.vmlist.VmListListener;
+import org.lovagerack.dispatch.DispatchSettings;
+import org.lovagerack.dispatch.Dispatcher;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.membership.LocalStatus;
+import org.lovagerack.membership.MembershipView;
+import org.lovagerack.membership.PeerNetwork;
+import org.lovagerack.membership.PeerNetworkSettings;
+import org.lovagerack.membership.PeerState;
+import org.lovagerack.notes.Deployment;
+import org.lovagerack.notes.DeploymentListener;
+import org.lovagerack.notes.NoteCodec;
+import org.lovagerack.notes.NoteFollower;
+import org.lovagerack.notes.NotePublisher;
+import org.lovagerack.notes.ReleaseNote;
+import org.lovagerack.platform.HttpPlatformClient;
+import org.lovagerack.platform.PlatformClientOptions;
+import org.lovagerack.settings.Address;
+import org.lovagerack.settings.Settings;
+import org.lovagerack.submission.JobService;
+import org.lovagerack.submission.OwnerIdentity;
+import org.lovagerack.submission.SubmissionIdCodec;
+import org.lovagerack.submission.SubmissionSettings;
+
+/** All parts of one entry VM, on one event loop. Must be created and called on that event loop. */
+final class EntryVm {
+
+  private static final EventLog LOG = new EventLog(EntryVm.class);
+  private static final int MAX_CONNECTIONS_PER_UPSTREAM = 64;
+  private static final int MAX_ANSWER_BYTES = 4 << 20;
+
+  /** After a pause, starts wait for newer information, but not longer than this. */
+  private static final Duration HOLD_AFTER_PAUSE = Duration.ofMillis(500);
+
+  private final Settings settings;
+  private final EventLoopTimer timer;
+  private final NoteFollower notes;
+  private final VmListFollower vmList;
+  private final Dispatcher dispatcher;
+  private final PeerNetwork network;
+  private final HttpInterface http;
+  private final PlannedStop stop;
+  private final MetricRegistry metrics = new MetricRegistry();
+
+  EntryVm(Vertx vertx, Context context, Settings settings) {
+    this.settings = settings;
+    timer = new EventLoopTimer(vertx, context);
+    SecureRandom secureRandom = new SecureRandom();
+    RandomGenerator random =
+        RandomGeneratorFactory.of("L64X128MixRandom").create(secureRandom.nextLong());
+    long incarnation = drawIncarnation(secureRandom);
+    Bytes clusterKey = Bytes.ofText(settings.keys().cluster());
+    String peerAddress = settings.peers().address().toString();
+
+    HttpPlatformClient platform = new HttpPlatformClient(vertx, platformOptions(settings));
+    MembershipView view = new MembershipView(timer, settings.peers().known());
+    EntryVmDirectory directory = new EntryVmDirectory(view, settings.peers().remote());
+    PeerCaller caller = new PeerCaller();
+    PeerSurvey survey = new PeerSurvey(caller);
+    notes =
+        new NoteFollower(timer, random, platform, platform, new PeerNoteSource(directory, survey));
+    NotePublisher publisher = new NotePublisher(timer, platform, platform, notes);
+    vmList = new VmListFollower(timer, random, platform, settings.failureDomain());
+
+    dispatcher =
+        new Dispatcher(
+            timer,
+            new HttpUpstreamTransport(vertx, MAX_CONNECTIONS_PER_UPSTREAM, MAX_ANSWER_BYTES),
+            random,
+            DispatchSettings.defaults(),
+            new DispatchMetrics(metrics, this::statusChanged));
+    SubmissionIdCodec codec = new SubmissionIdCodec(clusterKey);
+    SubmissionSettings submissionSettings = submissionSettings(settings);
+    JobService jobs =
+        new JobService(
+            timer,
+            dispatcher,
+            submissionSettings,
+            new OwnerIdentity(settings.failureDomain(), peerAddress, incarnation),
+            codec,
+            new JobMetrics(metrics));
+    JobCalls jobCalls =
+        new JobCalls(
+            jobs,
+            codec,
+            new PeerOwnerCalls(caller, codec),
+            this::knowsDeployment,
+            submissionSettings.maxIssueCount());
+    HandoverCodec handovers = new HandoverCodec(codec);
+    stop =
+        new PlannedStop(
+            timer, settings.drain(), jobs, new HandoverSender(directory, survey, handovers));
+
+    InForceReport inForce =
+        new InForceReport(peerAddress, settings.failureDomain(), notes, stop::started);
+    BurnAnswers burn = new BurnAnswers();
+    network =
+        new PeerNetwork(
+            timer,
+            task -> context.runOnContext(ignored -> task.run()),
+            networkSettings(settings, incarnation, clusterKey),
+            random,
+            secureRandom,
+            view,
+            new PeerCallHandler(jobCalls, jobs, handovers, notes, inForce::local, burn::local),
+            this::status);
+    caller.connect(network);
+    view.addListener(new PeerLoadBridge(dispatcher, vmList));
+    notes.addListener(new DeploymentBridge());
+    vmList.addListener(new VmListBridge(view, directory));
+    http =
+        new HttpInterface(
+            vertx,
+            settings.callers(),
+            List.of(
+                new CallerRoutes(jobCalls, settings.callers().maxWait()),
+                new HealthRoutes(metrics, this::readiness),
+                new OperatorRoutes(
+                    settings.keys().operator(),
+                    publisher,
+                    inForce,
+                    burn,
+                    directory,
+                    survey,
+                    () -> stop.start(() -> {}))));
+  }
+
+  /** Opens the ports; the future's value is the address for callers. */
+  Future<Address> start() {
+    new PauseDetector(timer, this::onPause).start();
+    return Future.fromCompletionStage(network.start())
+        .compose(
+            ignored -> {
+              notes.start();
+              vmList.start();
+              return http.listen();
+            })
+        .map(port -> new Address(settings.callers().address().host(), port));
+  }
+
+  /** Stops as planned; the future completes when the process may exit. */
+  Future<Void> stop() {
+    io.vertx.core.Promise<Void> finished = io.vertx.core.Promise.promise();
+    stop.start(
+        () ->
+            http.close()
+                .compose(ignored -> Future.fromCompletionStage(network.close()))
+                .onComplete(ignored -> finished.complete()));
+    return finished.future();
+  }
+
+  /** No process draws the incarnation that addresses any process. */
+  private static long drawIncarnation(RandomGenerator random) {
+    long drawn = random.nextLong();
+    return drawn == PeerNetwork.ANY_INCARNATION ? drawIncarnation(random) : drawn;
+  }
+
+  private static PlatformClientOptions platformOptions(Settings settings) {
+    return new PlatformClientOptions(
+        settings.platform().addresses().stream().map(EntryVm::socketAddress).toList(),
+        settings.platform().key(),
+        settings.failureDomain(),
+        settings.platform().timeout(),
+        settings.platform().timeout());
+  }
+
+  private static SocketAddress socketAddress(String address) {
+    Address parsed = Address.parse(address);
+    return SocketAddress.inetSocketAddress(parsed.port(), parsed.host());
+  }
+
+  private static SubmissionSettings submissionSettings(Settings settings) {
+    SubmissionSettings defaults = SubmissionSettings.defaults();
+    return new SubmissionSettings(
+        defaults.unusedLifetime(),
+        defaults.answerRetention(),
+        settings.drain().linger(),
+        defaults.maxIssueCount(),
+        defaults.maxOutstanding());
+  }
+
+  private static PeerNetworkSettings networkSettings(
+      Settings settings, long incarnation, Bytes clusterKey) {
+    return new PeerNetworkSettings(
+        settings.failureDomain(),
+        settings.peers().address().toString(),
+        Optional.empty(),
+        incarnation,
+        clusterKey,
+        settings.peers().maxFrameBytes(),
+        PeerNetworkSettings.DEFAULT_MAX_UNPROVEN_CONNECTIONS,
+        PeerNetworkSettings.DEFAULT_LOAD_BYTES_PER_SECOND);
+  }
+
+  private boolean knowsDeployment() {
+    return notes.deployment().isPresent();
+  }
+
+  private HealthRoutes.Readiness readiness() {
+    if (stop.started()) {
+      return HealthRoutes.Readiness.DRAINING;
+    }
+    return knowsDeployment() ? HealthRoutes.Readiness.READY : HealthRoutes.Readiness.STARTING;
+  }
+
+  private LocalStatus status() {
+    return new LocalStatus(
+        stop.started() ? PeerState.DRAINING : PeerState.SERVING,
+        notes.deployment().map(Deployment::revision).orElse(0L),
+        dispatcher.queuedTasks(),
+        dispatcher.inFlightByUpstream(),
+        vmList.version(),
+        vmList.leaving());
+  }
+
+  private void statusChanged() {
+    network.statusChanged();
+  }
+
+  private void onPause(Duration pause) {
+    LOG.write(LogEvent.PAUSE_DETECTED, "pause", pause);
+    dispatcher.holdStarts(HOLD_AFTER_PAUSE);
+  }
+
+  private final class DeploymentBridge implements DeploymentListener {
+
+    @Override
+    public void deployed(Deployment deployment) {
+      Deployment own = DeploymentFilter.ofFailureDomain(deployment, settings.failureDomain());
+      dispatcher.deploy(own);
+      vmList.retainDeployed(own.upstreams().keySet());
+      LOG.write(LogEvent.NOTE_APPLIED, "revision", deployment.revision());
+      statusChanged();
+    }
+
+    @Override
+    public void learned(long revision, ReleaseNote note) {
+      network.pushNote(revision, Bytes.ofText(NoteCodec.encode(note)));
+    }
+  }
+
+  private final class VmListBridge implements VmListListener {
+    private final MembershipView view;
+    private final EntryVmDirectory directory;
+
+    VmListBridge(MembershipView view, EntryVmDirectory directory) {
+      this.view = view;
+      this.directory = directory;
+    }
+
+    @Override
+    public void entryVmsListed(Set<String> peers, Set<String> others) {
+      view.knownAddresses(peers);
+      directory.listRemote(others);
+    }
+
+    @Override
+    public void upstreamLeaving(String upstream) {
+      dispatcher.upstreamLeaving(upstream);
+    }
+
+    @Override
+    public void upstreamLive(String upstream) {
+      dispatcher.upstreamLive(upstream);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
@@ -0,0 +1,113 @@
+package org.lovagerack.daemon;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.LovagerackException;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.settings.Settings;
+import org.lovagerack.settings.SettingsLoader;
+
+/** Main class of the entry daemon. */
+public final class Lovagerackd {
+
+  private static final int USAGE_EXIT_CODE = 2;
+
+  private final Settings settings;
+  private final EventLog log;
+
+  private Lovagerackd(Settings settings) {
+    this.settings = settings;
+    Configurator.initialize(
+        "lovagerackd",
+        settings.logFormat() == Settings.LogFormat.JSON
+            ? "classpath:log4j2-json.xml"
+            : "classpath:log4j2-text.xml");
+    this.log = new EventLog(Lovagerackd.class);
+  }
+
+  /** Runs the daemon until it is told to stop. */
+  public static void main(String[] arguments) {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("lovagerackd")
+            .build()
+            .description("Entry daemon of lovagerack; SIGTERM stops it as planned.")
+            .epilog("Exit codes: 0 stopped as planned, 1 error, 2 wrong arguments or settings.");
+    parser.addArgument("settings").help("settings file, JSON");
+    parser
+        .addArgument("--check")
+        .action(Arguments.storeTrue())
+        .help("check the settings file and exit");
+    try {
+      Namespace options = parser.parseArgs(arguments);
+      Settings settings = new SettingsLoader().load(Path.of(options.getString("settings")));
+      if (options.getBoolean("check")) {
+        System.out.println("settings are valid");
+        return;
+      }
+      new Lovagerackd(settings).run();
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      System.exit(USAGE_EXIT_CODE);
+    } catch (LovagerackException e) {
+      System.err.println(e.getMessage());
+      System.exit(e.failure().kind().exitCode());
+    }
+  }
+
+  private void run() {
+    Vertx vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(false));
+    Context context = vertx.getOrCreateContext();
+    context.runOnContext(ignored -> start(vertx, context));
+  }
+
+  private void start(Vertx vertx, Context context) {
+    EntryVm entryVm = new EntryVm(vertx, context, settings);
+    entryVm
+        .start()
+        .onSuccess(
+            address -> {
+              stopOnSignal(context, entryVm);
+              log.write(
+                  LogEvent.DAEMON_STARTED, "callers", address, "peers", settings.peers().address());
+              System.out.println("listening on " + address);
+            })
+        .onFailure(
+            cause -> {
+              log.write(LogEvent.UNEXPECTED_ERROR, cause, "step", "start");
+              System.err.println("cannot start: " + cause.getMessage());
+              System.exit(ErrorKind.INTERNAL.exitCode());
+            });
+  }
+
+  /** The hook blocks the exit of the process until the planned stop is finished. */
+  private void stopOnSignal(Context context, EntryVm entryVm) {
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  CountDownLatch stopped = new CountDownLatch(1);
+                  context.runOnContext(
+                      ignored -> entryVm.stop().onComplete(done -> stopped.countDown()));
+                  try {
+                    stopped.await();
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                  log.write(LogEvent.DAEMON_STOPPED);
+                  LogManager.shutdown();
+                },
+                "planned-stop"));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/PeerLoadBridge.java
@@ -0,0 +1,58 @@
+package org.lovagerack.daemon;
+
+import org.lovagerack.daemon.vmlist.VmListFollower;
+import org.lovagerack.dispatch.Dispatcher;
+import org.lovagerack.membership.MembershipListener;
+import org.lovagerack.membership.Peer;
+
+/** Passes on what peers report: their load to the dispatcher, leaving upstreams to the VM list. */
+final class PeerLoadBridge implements MembershipListener {
+
+  private final Dispatcher dispatcher;
+  private final VmListFollower vmList;
+
+  PeerLoadBridge(Dispatcher dispatcher, VmListFollower vmList) {
+    this.dispatcher = dispatcher;
+    this.vmList = vmList;
+  }
+
+  @Override
+  public void joined(Peer peer) {
+    update(peer);
+  }
+
+  @Override
+  public void recovered(Peer peer) {
+    update(peer);
+  }
+
+  @Override
+  public void replaced(Peer earlier, Peer current) {
+    dispatcher.peerGone(earlier.address());
+    update(current);
+  }
+
+  @Override
+  public void loadChanged(Peer peer) {
+    update(peer);
+  }
+
+  @Override
+  public void suspected(Peer peer) {
+    dispatcher.peerGone(peer.address());
+  }
+
+  @Override
+  public void forgotten(Peer peer) {
+    dispatcher.peerGone(peer.address());
+  }
+
+  private void update(Peer peer) {
+    if (peer.countedInShares()) {
+      dispatcher.peerLoads(peer.address(), peer.status().inFlight());
+    } else {
+      dispatcher.peerGone(peer.address());
+    }
+    vmList.learnFromPeer(peer.status().vmListVersion(), peer.status().leavingUpstreams());
+  }
+}
--- a/daemon/src/main/java/org/lovagerack/daemon/job/JobCalls.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/job/JobCalls.java
@@ -100,7 +100,8 @@
   }
 
   /**
-   * Takes a submission that another entry VM forwarded. It is decided here and never forwarded again.
+   * Takes a submission that another entry VM forwarded. It is decided here and never forwarded
+   * again.
    */
   public void submitForwarded(
       String key, Bytes body, Optional<Duration> wait, Consumer<Answer> reply) {
--- a/daemon/src/main/java/org/lovagerack/daemon/operator/InForceReport.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/InForceReport.java
@@ -67,7 +67,8 @@
     root.set("entryVms", entryVms);
     notes
         .deployment()
-        .ifPresent(deployment -> root.set("deployment", readTree(DeploymentCodec.encode(deployment))));
+        .ifPresent(
+            deployment -> root.set("deployment", readTree(DeploymentCodec.encode(deployment))));
     return Answer.json(OK, root.toString());
   }
 
--- a/daemon/src/main/java/org/lovagerack/daemon/operator/OperatorRoutes.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/OperatorRoutes.java
@@ -84,7 +84,8 @@
 
   private void authorize(RoutingContext context) {
     String header = context.request().getHeader(HttpHeaders.AUTHORIZATION);
-    String key = header != null && header.startsWith(BEARER) ? header.substring(BEARER.length()) : "";
+    String key =
+        header != null && header.startsWith(BEARER) ? header.substring(BEARER.length()) : "";
     if (!MessageDigest.isEqual(key.getBytes(StandardCharsets.UTF_8), operatorKey)) {
       LOG.write(LogEvent.OPERATOR_REJECTED, "path", context.request().path());
       HttpInterface.send(
--- a/daemon/src/main/java/org/lovagerack/daemon/peer/HandoverSender.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/HandoverSender.java
@@ -33,7 +33,6 @@
       return;
     }
     CallRequest request = CallRequest.newBuilder().setAnswerHandover(messages.next()).build();
-    survey.ask(
-        directory.livePeers(), request, TIMEOUT, outcomes -> sendFrom(messages, whenSent));
+    survey.ask(directory.livePeers(), request, TIMEOUT, outcomes -> sendFrom(messages, whenSent));
   }
 }
--- a/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
@@ -69,14 +69,12 @@
               Duration.ofMillis(request.getStatus().getWaitMillis()),
               answer -> send(answer, reply));
       case CANCEL ->
-          jobCalls.cancel(
-              request.getCancel().getSubmissionId(), answer -> send(answer, reply));
+          jobCalls.cancel(request.getCancel().getSubmissionId(), answer -> send(answer, reply));
       case NOTES ->
           send(
               Answer.json(
                   OK,
-                  CatchUpCodec.encode(
-                      notes.catchUpAfter(request.getNotes().getAfterRevision()))),
+                  CatchUpCodec.encode(notes.catchUpAfter(request.getNotes().getAfterRevision()))),
               reply);
       case IN_FORCE -> send(inForce.get(), reply);
       case BURN -> send(burn.get(), reply);
@@ -97,8 +95,7 @@
     try {
       notes.offer(revision, NoteCodec.decode(note.toText()));
     } catch (LovagerackException e) {
-      LOG.write(
-          LogEvent.NOTE_REJECTED, "revision", revision, "detail", e.failure().detail());
+      LOG.write(LogEvent.NOTE_REJECTED, "revision", revision, "detail", e.failure().detail());
     }
   }
 
--- a/daemon/src/main/java/org/lovagerack/daemon/peer/PeerOwnerCalls.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/PeerOwnerCalls.java
@@ -38,8 +38,7 @@
   }
 
   @Override
-  public void submit(
-      SubmissionId id, Bytes body, Optional<Duration> wait, Consumer<Answer> reply) {
+  public void submit(SubmissionId id, Bytes body, Optional<Duration> wait, Consumer<Answer> reply) {
     SubmitCall.Builder call =
         SubmitCall.newBuilder()
             .setSubmissionId(codec.encode(id))
@@ -51,9 +50,7 @@
   @Override
   public void status(SubmissionId id, Duration wait, Consumer<Answer> reply) {
     StatusCall.Builder call =
-        StatusCall.newBuilder()
-            .setSubmissionId(codec.encode(id))
-            .setWaitMillis(wait.toMillis());
+        StatusCall.newBuilder().setSubmissionId(codec.encode(id)).setWaitMillis(wait.toMillis());
     send(id, CallRequest.newBuilder().setStatus(call), wait, reply);
   }
 
@@ -90,8 +87,7 @@
         answered.status() >= FIRST_ERROR_STATUS ? ProblemJson.MEDIA_TYPE : Answer.JSON;
     Map<String, String> headers =
         answered.status() == ACCEPTED_STATUS
-            ? Map.of(
-                Answer.CONTENT_TYPE, mediaType, "Location", "/v1/jobs/" + codec.encode(id))
+            ? Map.of(Answer.CONTENT_TYPE, mediaType, "Location", "/v1/jobs/" + codec.encode(id))
             : Map.of(Answer.CONTENT_TYPE, mediaType);
     return new Answer(answered.status(), headers, answered.body());
   }
@@ -102,8 +98,7 @@
 
   private static Answer unreachable(SubmissionId id, String reason) {
     return ProblemJson.answer(
-        Failure.mayHaveRun(
-                ErrorKind.OWNER_UNREACHABLE, "owner " + id.peerAddress() + ": " + reason)
+        Failure.mayHaveRun(ErrorKind.OWNER_UNREACHABLE, "owner " + id.peerAddress() + ": " + reason)
             .retryAfter(RETRY_AFTER));
   }
 }
--- a/membership/src/main/java/org/lovagerack/membership/OutgoingCall.java
+++ b/membership/src/main/java/org/lovagerack/membership/OutgoingCall.java
@@ -30,8 +30,7 @@
   }
 
   boolean isMeantFor(long incarnation) {
-    return expectedIncarnation == PeerNetwork.ANY_INCARNATION
-        || expectedIncarnation == incarnation;
+    return expectedIncarnation == PeerNetwork.ANY_INCARNATION || expectedIncarnation == incarnation;
   }
 
   CallRequest request() {
--- a/settings/src/main/java/org/lovagerack/settings/Address.java
+++ b/settings/src/main/java/org/lovagerack/settings/Address.java
@@ -9,7 +9,7 @@
 public record Address(String host, int port) {
 
   /** Parses {@code host:port}; the schema of the settings has checked the form. */
-  static Address parse(String text) {
+  public static Address parse(String text) {
     int colon = text.lastIndexOf(':');
     return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
   }
--- a/standins/src/main/java/org/lovagerack/standins/PlatformStandInMain.java
+++ b/standins/src/main/java/org/lovagerack/standins/PlatformStandInMain.java
@@ -28,7 +28,8 @@
     Vertx vertx = Vertx.vertx();
     new PlatformStandIn(vertx, namespace.getString("key"))
         .start(namespace.getString("host"), namespace.getInt("port"))
-        .onSuccess(port -> System.out.println("port " + port))
+        .onSuccess(
+            port -> System.out.println("listening on " + namespace.getString("host") + ":" + port))
         .onFailure(
             cause -> {
               System.err.println("cannot listen: " + cause.getMessage());
--- /dev/null
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/Cluster.java
@@ -0,0 +1,210 @@
+package org.lovagerack.standins.demonstration;
+
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The processes of the demonstration: platform, upstreams and entry VMs of two failure domains. */
+final class Cluster {
+
+  static final List<String> FAILURE_DOMAINS = List.of("nordvik-1", "nordvik-2");
+  private static final int ENTRY_VMS_PER_DOMAIN = 2;
+  private static final List<Double> UPSTREAM_SPEEDS = List.of(1.0, 2.0, 3.0, 4.0);
+  static final int SLOTS = 8;
+  private static final int CONNECTIONS = 64;
+  private static final String PLATFORM_KEY = "demonstration-platform-key";
+  private static final String CLUSTER_KEY = "demonstration-cluster-key";
+  private static final String OPERATOR_KEY = "demonstration-operator-key";
+
+  /** An entry VM of the demonstration. */
+  record EntryVm(String name, String failureDomain, String address, Process process) {}
+
+  /** An upstream of the demonstration. */
+  record Upstream(String failureDomain, String address, double speed) {}
+
+  private final ProcessGroup processes;
+  private final BlockingHttp http;
+  private final Path folder;
+  private final String daemonClassPath;
+  private final String standInClassPath;
+  private final List<EntryVm> entryVms = new ArrayList<>();
+  private final List<Upstream> upstreams = new ArrayList<>();
+  private String platformAddress;
+
+  Cluster(ProcessGroup processes, BlockingHttp http, Path folder) {
+    this.processes = processes;
+    this.http = http;
+    this.folder = folder;
+    this.daemonClassPath = System.getProperty("lovagerack.daemon.classpath");
+    this.standInClassPath = System.getProperty("java.class.path");
+  }
+
+  List<EntryVm> entryVms() {
+    return List.copyOf(entryVms);
+  }
+
+  List<Upstream> upstreams() {
+    return List.copyOf(upstreams);
+  }
+
+  void start() throws IOException, InterruptedException {
+    platformAddress =
+        processes
+            .start(
+                "platform",
+                standInClassPath,
+                "org.lovagerack.standins.PlatformStandInMain",
+                List.of("--port", "0", "--key", PLATFORM_KEY))
+            .address();
+    for (String domain : FAILURE_DOMAINS) {
+      for (double speed : UPSTREAM_SPEEDS) {
+        startUpstream(domain, speed);
+      }
+      startEntryVms(domain);
+    }
+  }
+
+  private void startUpstream(String domain, double speed) throws IOException {
+    String name = "upstream-" + domain + "-" + speed;
+    ProcessGroup.Started started =
+        processes.start(
+            name,
+            standInClassPath,
+            "org.lovagerack.standins.upstream.UpstreamStandInMain",
+            List.of("--slots", Integer.toString(SLOTS), "--speed", Double.toString(speed)));
+    upstreams.add(new Upstream(domain, started.address(), speed));
+  }
+
+  private void startEntryVms(String domain) throws IOException {
+    List<String> peers = new ArrayList<>();
+    for (int i = 0; i < ENTRY_VMS_PER_DOMAIN; i++) {
+      peers.add("127.0.0.1:" + freePort());
+    }
+    for (int i = 0; i < ENTRY_VMS_PER_DOMAIN; i++) {
+      String name = "entry-" + domain + "-" + (i + 1);
+      List<String> others = new ArrayList<>(peers);
+      String own = others.remove(i);
+      Path file = folder.resolve(name + ".json");
+      Files.writeString(file, settings(domain, own, others).encodePrettily());
+      ProcessGroup.Started started =
+          processes.start(
+              name, daemonClassPath, "org.lovagerack.daemon.Lovagerackd", List.of(file.toString()));
+      entryVms.add(new EntryVm(name, domain, started.address(), started.process()));
+    }
+  }
+
+  private JsonObject settings(String domain, String own, List<String> others) {
+    return new JsonObject()
+        .put("region", "nordvik")
+        .put("failureDomain", domain)
+        .put("callers", new JsonObject().put("address", "127.0.0.1:0"))
+        .put("peers", new JsonObject().put("address", own).put("known", new JsonArray(others)))
+        .put(
+            "platform",
+            new JsonObject()
+                .put("addresses", new JsonArray(List.of(platformAddress)))
+                .put("key", PLATFORM_KEY))
+        .put("keys", new JsonObject().put("cluster", CLUSTER_KEY).put("operator", OPERATOR_KEY))
+        .put("drain", new JsonObject().put("readinessMillis", 300).put("lingerMillis", 500));
+  }
+
+  /** Publishes a release note and returns its revision. */
+  long publish(JsonObject note) throws IOException, InterruptedException {
+    BlockingHttp.Reply reply =
+        operatorCall(HttpMethod.POST, entryVms.getFirst(), "notes", note.encode());
+    if (reply.status() != 200) {
+      throw new IOException("the release note was not accepted: " + reply.body());
+    }
+    return reply.json().getLong("revision");
+  }
+
+  /** Returns the service with all upstreams as a first release note. */
+  JsonObject firstNote(String service) {
+    JsonArray upstreamNodes = new JsonArray();
+    upstreams.forEach(
+        upstream ->
+            upstreamNodes.add(
+                new JsonObject()
+                    .put("address", upstream.address())
+                    .put("service", service)
+                    .put("failureDomain", upstream.failureDomain())
+                    .put("slots", SLOTS)
+                    .put("connections", CONNECTIONS)));
+    JsonObject serviceNode =
+        new JsonObject()
+            .put("name", service)
+            .put("path", "/tasks")
+            .put("messageWeight", 0.5)
+            .put("maxQueuedTasks", 5_000)
+            .put("maxRunTimeMillis", 10_000)
+            .put("objective", 0.99);
+    return new JsonObject()
+        .put("noteId", "first-note")
+        .put("baseRevision", 0)
+        .put(
+            "added",
+            new JsonObject()
+                .put("services", new JsonArray().add(serviceNode))
+                .put("upstreams", upstreamNodes));
+  }
+
+  /** Waits until every live entry VM has applied a revision; returns the milliseconds it took. */
+  long awaitInForce(long revision) throws IOException, InterruptedException {
+    long start = System.nanoTime();
+    for (EntryVm entryVm : entryVms) {
+      while (entryVm.process().isAlive() && revisionOf(entryVm) < revision) {
+        Thread.sleep(20);
+      }
+    }
+    return (System.nanoTime() - start) / 1_000_000;
+  }
+
+  private long revisionOf(EntryVm entryVm) throws IOException, InterruptedException {
+    BlockingHttp.Reply reply = operatorCall(HttpMethod.GET, entryVm, "in-force", "");
+    return reply.json().getLong("revision");
+  }
+
+  private BlockingHttp.Reply operatorCall(
+      HttpMethod method, EntryVm entryVm, String call, String body)
+      throws IOException, InterruptedException {
+    return http.call(
+        method,
+        entryVm.address(),
+        "/v1/operator/" + call,
+        Map.of("Authorization", "Bearer " + OPERATOR_KEY),
+        body);
+  }
+
+  /** Returns how often each task was started, over all upstreams. */
+  Map<String, Integer> starts() throws IOException, InterruptedException {
+    Map<String, Integer> starts = new HashMap<>();
+    for (Upstream upstream : upstreams) {
+      startsAt(upstream).forEach((task, count) -> starts.merge(task, count, Integer::sum));
+    }
+    return starts;
+  }
+
+  /** Returns how often each task was started at one upstream. */
+  Map<String, Integer> startsAt(Upstream upstream) throws IOException, InterruptedException {
+    Map<String, Integer> starts = new HashMap<>();
+    http.get(upstream.address(), "/control/starts")
+        .json()
+        .forEach(entry -> starts.put(entry.getKey(), (Integer) entry.getValue()));
+    return starts;
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+}
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/ProcessGroup.java
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/ProcessGroup.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -43,8 +44,7 @@
     Process process = new ProcessBuilder(command).redirectError(errors.toFile()).start();
     processes.add(process);
     BufferedReader output =
-        new BufferedReader(
-            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
     for (String line = output.readLine(); line != null; line = output.readLine()) {
       Matcher matcher = LISTENING.matcher(line);
       if (matcher.find()) {
@@ -61,7 +61,7 @@
         .start(
             () -> {
               try {
-                output.transferTo(java.io.Writer.nullWriter());
+                output.transferTo(Writer.nullWriter());
               } catch (IOException e) {
                 // The process ended; nothing is left to read.
                 return;
--- /dev/null
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/SubmittedJob.java
@@ -0,0 +1,111 @@
+package org.lovagerack.standins.demonstration;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A job of the demonstration and how it ended. */
+final class SubmittedJob {
+
+  private final JobKind kind;
+  private final int number;
+  private final String id;
+  private String state = "unknown";
+  private JsonObject problem = new JsonObject();
+  private List<String> answers = List.of();
+  private long responseMillis;
+
+  SubmittedJob(JobKind kind, int number, String id) {
+    this.kind = kind;
+    this.number = number;
+    this.id = id;
+  }
+
+  JobKind kind() {
+    return kind;
+  }
+
+  String id() {
+    return id;
+  }
+
+  String state() {
+    return state;
+  }
+
+  String problemKind() {
+    return problem.getString("kind", "none");
+  }
+
+  boolean saysNotRun() {
+    return "not-run".equals(problem.getString("outcome"));
+  }
+
+  long responseMillis() {
+    return responseMillis;
+  }
+
+  /** Returns the body of the job. */
+  String body() {
+    JsonArray tasks = new JsonArray();
+    for (int i = 0; i < kind.taskCount(); i++) {
+      tasks.add(
+          new JsonObject()
+              .put("body", taskBody(i))
+              .put("runTimeMillis", kind.workMillis())
+              .put("repeatable", kind.repeatable()));
+    }
+    return new JsonObject()
+        .put("service", Demonstration.SERVICE)
+        .put("kind", kind.kind())
+        .put("urgent", kind.urgent())
+        .put("deadlineMillis", kind.timeLimit().toMillis())
+        .put("tasks", tasks)
+        .encode();
+  }
+
+  private String taskBody(int index) {
+    return new JsonObject()
+        .put("workMillis", kind.workMillis())
+        .put("job", number)
+        .put("task", index)
+        .encode();
+  }
+
+  /** Takes the answer to the submission or to a later question. */
+  void finish(BlockingHttp.Reply reply, long elapsedMillis) {
+    JsonObject json = reply.json();
+    responseMillis = elapsedMillis;
+    state = json.getString("state", "failed");
+    if (state.equals("completed")) {
+      List<String> received = new ArrayList<>();
+      json.getJsonArray("answers").forEach(answer -> received.add((String) answer));
+      answers = received;
+    } else if (state.equals("failed")) {
+      problem = json.getJsonObject("problem", json);
+    }
+  }
+
+  /** Returns whether every answer is there, in order, and to its own task. */
+  boolean hasWholeOwnAnswer() {
+    if (answers.size() != kind.taskCount()) {
+      return false;
+    }
+    for (int i = 0; i < answers.size(); i++) {
+      if (!answers.get(i).equals("done:" + taskBody(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Returns the earliest finish that any schedule could reach on the empty failure domain,
+   * milliseconds.
+   */
+  double idealMillis(double fastestSpeed, double capacity) {
+    double longest = kind.workMillis() / fastestSpeed;
+    return Math.max(longest, kind.workMillis() * kind.taskCount() / capacity);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/Workload.java
@@ -0,0 +1,114 @@
+package org.lovagerack.standins.demonstration;
+
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Submits jobs as callers do, through entry VMs that a balancer picks in turn. */
+final class Workload {
+
+  private static final int ASK_AGAIN_MILLIS = 100;
+  private static final int FAULT_AFTER_MILLIS = 150;
+
+  private final Cluster cluster;
+  private final BlockingHttp http;
+  private final AtomicInteger turn = new AtomicInteger();
+  private final AtomicInteger jobNumbers = new AtomicInteger();
+
+  Workload(Cluster cluster, BlockingHttp http) {
+    this.cluster = cluster;
+    this.http = http;
+  }
+
+  /**
+   * Submits jobs at the same time, injects a fault while they run, and waits until each has an
+   * outcome.
+   *
+   * @param counts number of jobs of each kind
+   * @param fault what happens while they run
+   */
+  List<SubmittedJob> run(Map<JobKind, Integer> counts, Runnable fault)
+      throws IOException, InterruptedException {
+    List<SubmittedJob> jobs = new ArrayList<>();
+    for (JobKind kind : JobKind.values()) {
+      for (String id : issue(counts.get(kind))) {
+        jobs.add(new SubmittedJob(kind, jobNumbers.incrementAndGet(), id));
+      }
+    }
+    try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+      List<Future<?>> submissions = new ArrayList<>();
+      for (SubmittedJob job : jobs) {
+        submissions.add(
+            callers.submit(
+                () -> {
+                  submitUntilAnswered(job);
+                  return null;
+                }));
+      }
+      Thread.sleep(FAULT_AFTER_MILLIS);
+      fault.run();
+      for (Future<?> submission : submissions) {
+        submission.get();
+      }
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause());
+    }
+    return jobs;
+  }
+
+  /** Submits a job and waits for its answer. */
+  void submit(SubmittedJob job) throws IOException, InterruptedException {
+    long start = System.nanoTime();
+    BlockingHttp.Reply reply =
+        http.call(
+            HttpMethod.POST,
+            nextEntryVm().address(),
+            "/v1/jobs",
+            Map.of("Idempotency-Key", job.id(), "Prefer", "wait"),
+            job.body());
+    job.finish(reply, (System.nanoTime() - start) / 1_000_000);
+  }
+
+  /** A caller that loses its connection submits the same identifier again elsewhere. */
+  private void submitUntilAnswered(SubmittedJob job) throws InterruptedException {
+    while (job.state().equals("unknown") || job.state().equals("running")) {
+      try {
+        submit(job);
+      } catch (IOException e) {
+        Thread.sleep(ASK_AGAIN_MILLIS);
+      }
+    }
+  }
+
+  private List<String> issue(int count) throws IOException, InterruptedException {
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      BlockingHttp.Reply reply =
+          http.call(
+              HttpMethod.POST,
+              nextEntryVm().address(),
+              "/v1/submission-ids",
+              Map.of(),
+              new JsonObject().put("count", 1).encode());
+      JsonArray issued = reply.json().getJsonArray("ids");
+      ids.add(issued.getString(0));
+    }
+    return ids;
+  }
+
+  /** Picks a live entry VM, as the platform's balancer does with a short delay. */
+  private Cluster.EntryVm nextEntryVm() {
+    List<Cluster.EntryVm> live =
+        cluster.entryVms().stream().filter(entryVm -> entryVm.process().isAlive()).toList();
+    return live.get(Math.floorMod(turn.getAndIncrement(), live.size()));
+  }
+}
