--- a/submission/src/main/java/org/lovagerack/submission/JobService.java
+++ b/submission/src/main/java/org/lovagerack/submission/JobService.java
@@ -34,6 +34,11 @@
   private final HandoverStore handedOver;
   private final DrainMonitor drain;
 
+  /**
+   * Creates a service that issues identifiers of {@code self}.
+   *
+   * @throws IllegalArgumentException if the identity does not fit into an identifier
+   */
   public JobService(
       TimerService timers,
       TaskDispatcher dispatcher,
@@ -46,9 +51,10 @@
     this.settings = settings;
     this.self = self;
     this.codec = codec;
+    codec.encode(self.identifier(1));
     this.observer = observer;
     this.ledger = new SubmissionLedger(settings);
-    this.handedOver = new HandoverStore(settings.answerRetention());
+    this.handedOver = new HandoverStore(settings.answerRetention(), settings.maxRetainedBytes());
     this.drain = new DrainMonitor(timers, settings.drainLinger());
     timers.every(HOUSEKEEPING_PERIOD, this::housekeeping);
   }
@@ -119,8 +125,12 @@
    * other, so that "not run" stays true for the identifier.
    *
    * @param failure the reason, with outcome "not run"
+   * @throws IllegalArgumentException if the failure has another outcome
    */
   public SubmitResult refuse(Optional<SubmissionId> id, Bytes bodyDigest, Failure failure) {
+    if (failure.outcome() != RunOutcome.NOT_RUN) {
+      throw new IllegalArgumentException("a refusal must be \"not run\": " + failure);
+    }
     return id.flatMap(present -> earlierDecision(present, bodyDigest))
         .orElseGet(() -> recordRefusal(id, bodyDigest, failure));
   }
@@ -225,6 +235,12 @@
     if (drain.isDraining()) {
       return Optional.of(draining());
     }
+    if (ledger.retainedBytes() > settings.maxRetainedBytes()) {
+      return Optional.of(
+          Failure.notRun(
+                  ErrorKind.OVERLOADED, ledger.retainedBytes() + " bytes of answers are retained")
+              .retryAfter(RETRY_AFTER));
+    }
     return validator
         .validate(request)
         .or(() -> dispatcher.admit(DispatchMapping.shape(request, deadlineNanos)));
