--- a/notes/src/main/java/org/lovagerack/notes/LimitedCall.java
+++ b/notes/src/main/java/org/lovagerack/notes/LimitedCall.java
@@ -5,20 +5,25 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
 import org.lovagerack.foundation.timer.TimerSubscription;
 
 /** Waits for a call for a limited time, so that one lost answer cannot stop its caller forever. */
 final class LimitedCall {
 
+  private static final EventLog LOG = new EventLog(LimitedCall.class);
+
   private boolean settled;
 
   private LimitedCall() {}
 
   /**
-   * Calls exactly one of the two consumers, once; an answer after the time limit is dropped.
+   * Calls one of the two consumers, once; an answer after the time limit is dropped.
    *
-   * @param onFailure receives the failure of the stage, or a {@link TimeoutException}
+   * @param onFailure receives the failure of the stage, a {@link TimeoutException}, or what {@code
+   *     onValue} threw
    */
   static <T> void await(
       TimerService timer,
@@ -35,8 +40,6 @@
                 onFailure.accept(new TimeoutException("no answer within " + limit));
               }
             });
-    // The stage that whenComplete returns is not used: a consumer that fails is a defect, and the
-    // event loop of the caller has nowhere to pass it on.
     var unused =
         call.whenComplete(
             (value, failure) -> {
@@ -45,13 +48,23 @@
               }
               expiry.cancel();
               if (failure == null) {
-                onValue.accept(value);
+                pass(value, onValue, onFailure);
               } else {
                 onFailure.accept(unwrapped(failure));
               }
             });
   }
 
+  /** A stage would swallow what its callback throws, and the caller would wait forever. */
+  private static <T> void pass(T value, Consumer<T> onValue, Consumer<Throwable> onFailure) {
+    try {
+      onValue.accept(value);
+    } catch (RuntimeException e) {
+      LOG.write(LogEvent.UNEXPECTED_ERROR, e);
+      onFailure.accept(e);
+    }
+  }
+
   private boolean settle() {
     boolean first = !settled;
     settled = true;
