--- a/notes/src/main/java/org/lovagerack/notes/ReleaseNote.java
+++ b/notes/src/main/java/org/lovagerack/notes/ReleaseNote.java
@@ -1,7 +1,8 @@
 package org.lovagerack.notes;
 
 /**
- * A release note: what is added, changed and withdrawn.
+ * A release note: what is added, changed and withdrawn. Each of these that the note leaves out is
+ * empty.
  *
  * @param noteId unique identifier chosen by the publisher; makes publishing idempotent
  * @param baseRevision revision that the note was written against; the note becomes the next one
--- a/notes/src/main/java/org/lovagerack/notes/Withdrawals.java
+++ b/notes/src/main/java/org/lovagerack/notes/Withdrawals.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * What a release note withdraws.
+ * What a release note withdraws. A list that the note leaves out is empty.
  *
  * @param services names of services
  * @param upstreams addresses of upstreams
