--- /dev/null
+++ b/notes/src/test/java/org/lovagerack/notes/NoteFollowerTest.java
@@ -0,0 +1,216 @@
+package org.lovagerack.notes;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.Logger;
+import org.apache.logging.log4j.core.appender.AbstractAppender;
+import org.apache.logging.log4j.core.config.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lovagerack.notes.NoteSimulation.Vm;
+
+/** Guards the follower's timing, its use of snapshots, and what it keeps for peers. */
+final class NoteFollowerTest {
+
+  private static final Duration FORCE_LIMIT = Duration.ofSeconds(13);
+
+  private final NoteSimulation simulation = new NoteSimulation(1, 2);
+  private final Vm publisher = simulation.vms.get(0);
+  private final Vm other = simulation.vms.get(1);
+
+  private void publish(int count) {
+    for (int i = 0; i < count; i++) {
+      simulation.publishNew(publisher, i % 50);
+      simulation.timer.advance(Duration.ofMillis(200));
+    }
+  }
+
+  private void settle() {
+    simulation.timer.advance(FORCE_LIMIT);
+  }
+
+  @Test
+  void putsANoteInForceWithin13SecondsByPollingAlone() {
+    other.peersReachable = false;
+    settle();
+    publish(1);
+
+    simulation.timer.advance(Duration.ofSeconds(3));
+
+    assertThat(other.revision()).isEqualTo(1);
+  }
+
+  /** Neither the longest period nor calls that hang may delay notes beyond the limit. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void putsANoteInForceWithin13SecondsAfterALongOutage(boolean platformHeals) {
+    settle();
+    for (int revision = 1; revision <= 50; revision++) {
+      other.setPlatformReachable(false);
+      other.peersReachable = false;
+      simulation.timer.advance(Duration.ofMillis(60_000 + revision * 370L));
+      publish(1);
+      other.setPlatformReachable(platformHeals);
+      other.peersReachable = !platformHeals;
+
+      settle();
+
+      assertThat(other.revision()).isEqualTo(revision);
+    }
+  }
+
+  @Test
+  void fetchesMissingNotesAtOnceWhenAPushedNoteComesEarly() {
+    settle();
+    other.peersReachable = false;
+    long before = simulation.timer.nanoTime();
+    while (simulation.platform.lastReadNanos <= before) {
+      simulation.timer.advanceToNext();
+    }
+    simulation.timer.advance(Duration.ofMillis(100));
+    publish(3);
+
+    other.follower.offer(3, simulation.noteAt(3));
+    simulation.timer.advance(Duration.ofMillis(100));
+
+    assertThat(other.revision()).isEqualTo(3);
+  }
+
+  @Test
+  void pollsLessOftenInAnOutageAndNeverTwiceAtATime() {
+    publisher.follower.stop();
+    other.peersReachable = false;
+    other.followerView.silent = true;
+    settle();
+    int before = simulation.platform.reads;
+
+    for (int second = 0; second < 600; second++) {
+      simulation.timer.advance(Duration.ofSeconds(1));
+      long last = simulation.platform.lastReadNanos;
+      int reads = simulation.platform.reads;
+      other.follower.refresh();
+      assertThat(simulation.platform.reads)
+          .as("calls while the one of " + last + " is in progress")
+          .isLessThanOrEqualTo(
+              simulation.timer.nanoTime() - last < Duration.ofSeconds(5).toNanos()
+                  ? reads
+                  : reads + 1);
+    }
+    assertThat(simulation.platform.reads - before).isLessThanOrEqualTo(121);
+    before = simulation.platform.reads;
+    simulation.timer.advance(Duration.ofSeconds(100));
+
+    // Each poll is given up after 5 s, and the pause after it is 4 to 5 s.
+    assertThat(simulation.platform.reads - before).isBetween(10, 12);
+  }
+
+  @Test
+  void startsFromTheNewestSnapshot() {
+    publish(200);
+    settle();
+    assertThat(simulation.platform.objects)
+        .containsOnlyKeys("deployments/64", "deployments/128", "deployments/192");
+    simulation.platform.rows.subMap("notes/000000000001", true, "notes/000000000192", true).clear();
+    other.peersReachable = false;
+
+    other.start();
+    settle();
+
+    assertThat(other.revision()).isEqualTo(200);
+  }
+
+  @Test
+  void startsFromTheRowsIfTheSnapshotIsUnusable() {
+    publish(130);
+    settle();
+    simulation.platform.objects.put("deployments/128", "{\"revision\": 3}");
+    other.peersReachable = false;
+
+    other.start();
+    settle();
+
+    assertThat(other.revision()).isEqualTo(130);
+  }
+
+  @Test
+  void keepsTheLast256NotesForPeers() {
+    settle();
+    publish(300);
+
+    CatchUp retained = publisher.follower.catchUpAfter(300 - 256);
+    assertThat(retained.deployment()).isEmpty();
+    assertThat(retained.notes()).hasSize(256);
+    assertThat(publisher.follower.catchUpAfter(300 - 257).deployment())
+        .contains(simulation.truth(300));
+    assertThat(publisher.follower.catchUpAfter(300).revision()).isEqualTo(-1);
+  }
+
+  @Test
+  void hasNoDeploymentUntilThePlatformOrAPeerAnswers() {
+    publish(3);
+    other.setPlatformReachable(false);
+    other.peersReachable = false;
+    other.start();
+    settle();
+    assertThat(other.follower.deployment()).isEmpty();
+    assertThat(other.follower.catchUpAfter(-1).revision()).isEqualTo(-1);
+
+    other.peersReachable = true;
+    settle();
+
+    assertThat(other.revision()).isEqualTo(3);
+  }
+
+  @Test
+  void keepsFollowingWhenAListenerFails() {
+    List<Long> revisions = new ArrayList<>();
+    other.follower.addListener(
+        deployment -> {
+          throw new IllegalStateException("defect of a listener");
+        });
+    other.follower.addListener(deployment -> revisions.add(deployment.revision()));
+    settle();
+    publish(1);
+    settle();
+    publish(1);
+    settle();
+
+    assertThat(revisions).containsExactly(0L, 1L, 2L);
+  }
+
+  @Test
+  void logsAnotherNoteForAnAppliedRevisionAndIgnoresIt() {
+    settle();
+    publish(2);
+    settle();
+    List<String> events = new ArrayList<>();
+    AbstractAppender appender =
+        new AbstractAppender("test", null, null, true, Property.EMPTY_ARRAY) {
+          @Override
+          public void append(LogEvent event) {
+            events.add(event.getMessage().getFormattedMessage());
+          }
+        };
+    appender.start();
+    Logger logger = (Logger) LogManager.getLogger(NoteFollower.class);
+    logger.addAppender(appender);
+    logger.setLevel(Level.ERROR);
+    Deployment before = other.follower.deployment().orElseThrow();
+
+    other.follower.offer(1, simulation.noteAt(1));
+    other.follower.offer(
+        1, Samples.adding("forged", 0, List.of(Samples.service("x")), Samples.upstream(7, 1)));
+
+    logger.removeAppender(appender);
+    logger.setLevel(Level.OFF);
+    assertThat(events).singleElement().asString().contains("event=\"4005\"", "note-0", "forged");
+    assertThat(other.follower.deployment()).containsSame(before);
+  }
+}
