Test the peer network against broken connections, and fix what the tests found

Change: properties of the view and of load reports, hostile connections (garbage, oversize, truncated, unproven), lost answers, silent connections, traffic limit. Found and fixed: a truncated frame was not reported, because Netty passes an exception from decodeLast on after the end of the connection; names of upstreams were numbered in the random order of Map.copyOf, so the bytes of a run differed; a retry timer could open a needless second connection. The limit of load traffic is 5,000 bytes/s sent, so that both directions with headers stay under 12 KB/s. Ruled out: sending whole tables with names (18 KB each at 750 upstreams).

--- a/membership/src/main/java/org/lovagerack/membership/CallReply.java
+++ b/membership/src/main/java/org/lovagerack/membership/CallReply.java
@@ -11,6 +11,7 @@
    *
    * @param status HTTP status
    * @param body JSON body
+   * @throws IllegalStateException if the call was answered before
    * @throws IllegalArgumentException if the answer is over the frame limit
    */
   void answer(int status, Bytes body);
--- a/membership/src/main/java/org/lovagerack/membership/CompressedLoads.java
+++ b/membership/src/main/java/org/lovagerack/membership/CompressedLoads.java
@@ -19,6 +19,10 @@
 
   static CompressedLoads of(LoadUpdate update) {
     Deflater deflater = new Deflater(Deflater.BEST_COMPRESSION, true);
+    if (update.getNewNamesCount() == 0) {
+      // Small counts hardly repeat in sequence; without matching they take a fifth less.
+      deflater.setStrategy(Deflater.HUFFMAN_ONLY);
+    }
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (DeflaterOutputStream output = new DeflaterOutputStream(bytes, deflater)) {
       update.writeTo(output);
--- a/membership/src/main/java/org/lovagerack/membership/Connection.java
+++ b/membership/src/main/java/org/lovagerack/membership/Connection.java
@@ -54,6 +54,10 @@
     return remote;
   }
 
+  boolean proven() {
+    return remote != null;
+  }
+
   boolean usable() {
     return open && remote != null && channel.isActive();
   }
@@ -102,12 +106,6 @@
     }
   }
 
-  void closeUnlessProven() {
-    if (remote == null) {
-      reject("the handshake did not finish in time");
-    }
-  }
-
   void reject(String reason) {
     if (open) {
       rejections.incrementAndGet();
--- a/membership/src/main/java/org/lovagerack/membership/FrameDecoder.java
+++ b/membership/src/main/java/org/lovagerack/membership/FrameDecoder.java
@@ -47,8 +47,10 @@
     if (output.isEmpty() && input.isReadable()) {
       int remaining = input.readableBytes();
       input.skipBytes(remaining);
-      throw new CorruptedFrameException(
-          "the connection ended after " + remaining + " bytes of a frame");
+      // An exception thrown here would reach the next handler only after the end of the connection.
+      context.fireExceptionCaught(
+          new CorruptedFrameException(
+              "the connection ended after " + remaining + " bytes of a frame"));
     }
   }
 
--- a/membership/src/main/java/org/lovagerack/membership/IncomingConnections.java
+++ b/membership/src/main/java/org/lovagerack/membership/IncomingConnections.java
@@ -142,17 +142,7 @@
 
   private void call(Connection connection, Session session, CallRequest request) {
     session.openCalls++;
-    guarded(
-        () ->
-            handler.onCall(
-                request,
-                (status, body) -> {
-                  Frame response = response(request.getNumber(), status, body);
-                  session.openCalls--;
-                  if (connection.usable()) {
-                    connection.send(response);
-                  }
-                }));
+    guarded(() -> handler.onCall(request, new Reply(connection, session, request.getNumber())));
   }
 
   private Frame response(long number, int status, Bytes body) {
@@ -179,6 +169,32 @@
     }
   }
 
+  private final class Reply implements CallReply {
+    private final Connection connection;
+    private final Session session;
+    private final long number;
+    private boolean answered;
+
+    private Reply(Connection connection, Session session, long number) {
+      this.connection = connection;
+      this.session = session;
+      this.number = number;
+    }
+
+    @Override
+    public void answer(int status, Bytes body) {
+      if (answered) {
+        throw new IllegalStateException("call " + number + " was answered before");
+      }
+      Frame response = response(number, status, body);
+      answered = true;
+      session.openCalls--;
+      if (connection.usable()) {
+        connection.send(response);
+      }
+    }
+  }
+
   private static final class Session {
     private final HeartbeatReader heartbeats;
     private int openCalls;
--- a/membership/src/main/java/org/lovagerack/membership/LoadWriter.java
+++ b/membership/src/main/java/org/lovagerack/membership/LoadWriter.java
@@ -1,10 +1,11 @@
 package org.lovagerack.membership;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lovagerack.membership.generated.PeerProtocol.LoadUpdate;
 
 /**
@@ -17,7 +18,7 @@
   /** Names of upstreams without attempts that are kept before the table is started again. */
   private static final int MAX_IDLE_NAMES = 4_096;
 
-  private final Map<String, Integer> numbers = new HashMap<>();
+  private final Set<String> known = new HashSet<>();
   private final List<String> names = new ArrayList<>();
   private final List<Integer> counts = new ArrayList<>();
 
@@ -25,12 +26,12 @@
   Optional<CompressedLoads> update(Map<String, Integer> inFlight) {
     boolean reset = names.size() > MAX_IDLE_NAMES + 2 * inFlight.size();
     if (reset) {
-      numbers.clear();
+      known.clear();
       names.clear();
       counts.clear();
     }
     int knownNames = names.size();
-    inFlight.forEach(this::number);
+    addNewNames(inFlight);
     LoadUpdate.Builder changes = LoadUpdate.newBuilder();
     int previous = -1;
     for (int number = 0; number < names.size(); number++) {
@@ -65,10 +66,17 @@
             .build());
   }
 
-  private void number(String upstream, int count) {
-    if (count > 0 && numbers.putIfAbsent(upstream, names.size()) == null) {
-      names.add(upstream);
-      counts.add(0);
-    }
+  /** Adds names in their order, so that the bytes do not depend on the order of the map. */
+  private void addNewNames(Map<String, Integer> inFlight) {
+    inFlight.entrySet().stream()
+        .filter(entry -> entry.getValue() > 0 && !known.contains(entry.getKey()))
+        .map(Map.Entry::getKey)
+        .sorted()
+        .forEach(
+            upstream -> {
+              known.add(upstream);
+              names.add(upstream);
+              counts.add(0);
+            });
   }
 }
--- a/membership/src/main/java/org/lovagerack/membership/OutgoingLink.java
+++ b/membership/src/main/java/org/lovagerack/membership/OutgoingLink.java
@@ -57,17 +57,19 @@
 
   /** Sets whether to keep the connection open, as for the peers of the own failure domain. */
   void keepConnected(boolean keep) {
-    if (keep && !permanent && connection == null) {
-      dial();
+    if (keep && !permanent) {
+      dialUnlessConnected();
     }
     permanent = keep;
   }
 
+  boolean connected() {
+    return connection != null && connection.usable();
+  }
+
   void call(OutgoingCall call) {
     lastUsedNanos = timer.nanoTime();
-    if (connection != null
-        && connection.usable()
-        && connection.remote().incarnation() == call.expectedIncarnation()) {
+    if (leadsTo(call.expectedIncarnation())) {
       outstanding.send(call, connection);
       return;
     }
@@ -78,14 +80,11 @@
 
   /** Sends a frame if the connection to a peer of the own failure domain is up. */
   boolean sendToPeer(Frame frame) {
-    boolean connected =
-        connection != null
-            && connection.usable()
-            && network.isOwnFailureDomain(connection.remote().failureDomain());
-    if (connected) {
+    boolean connectedToPeer = connected() && leadsToOwnDomain();
+    if (connectedToPeer) {
       connection.send(frame);
     }
-    return connected;
+    return connectedToPeer;
   }
 
   /** Closes a silent or idle connection; returns whether the link is of no use any more. */
@@ -102,8 +101,16 @@
     return !permanent && now - lastUsedNanos >= IDLE_AFTER.toNanos();
   }
 
+  private boolean leadsTo(long incarnation) {
+    return connected() && connection.remote().incarnation() == incarnation;
+  }
+
+  private boolean leadsToOwnDomain() {
+    return network.isOwnFailureDomain(connection.remote().failureDomain());
+  }
+
   private long silentSince(long now, boolean calls) {
-    if (permanent) {
+    if (leadsToOwnDomain()) {
       return now - connection.lastHeardNanos();
     }
     return calls ? now - Math.max(connection.lastHeardNanos(), outstanding.waitingSinceNanos()) : 0;
@@ -139,7 +146,7 @@
   public void proven(Connection made) {
     dialing = null;
     retryDelay.reset();
-    if (connection != null && connection.remote().incarnation() == made.remote().incarnation()) {
+    if (leadsTo(made.remote().incarnation())) {
       made.shut("the earlier connection leads to the same process");
     } else {
       Connection earlier = connection;
@@ -188,10 +195,16 @@
     }
   }
 
+  private void dialUnlessConnected() {
+    if (connection == null) {
+      dial();
+    }
+  }
+
   private void retryLater() {
     retry.cancel();
     if (permanent && !closed) {
-      retry = timer.after(retryDelay.next(), this::dial);
+      retry = timer.after(retryDelay.next(), this::dialUnlessConnected);
     }
   }
 
--- a/membership/src/main/java/org/lovagerack/membership/PeerNetwork.java
+++ b/membership/src/main/java/org/lovagerack/membership/PeerNetwork.java
@@ -97,6 +97,11 @@
             });
   }
 
+  /** Returns the port that this process listens on; valid once started. */
+  public int listeningPort() {
+    return transport.listeningPort();
+  }
+
   /**
    * Calls the process at an address.
    *
@@ -164,6 +169,11 @@
     links.forEach((address, link) -> link.keepConnected(addresses.contains(address)));
   }
 
+  /** Returns the number of addresses to which a connection made by this process is up. */
+  public int connectedAddresses() {
+    return (int) links.values().stream().filter(OutgoingLink::connected).count();
+  }
+
   /** Returns how many connections were closed because the other side broke the protocol. */
   public long rejectedConnections() {
     return transport.rejections();
@@ -245,6 +255,7 @@
       joined(peer);
       if (isOwnFailureDomain(peer.failureDomain())) {
         link.sendToPeer(heartbeats.snapshot());
+        heartbeats.statusChanged();
       }
     }
 
--- a/membership/src/main/java/org/lovagerack/membership/PeerNetworkSettings.java
+++ b/membership/src/main/java/org/lovagerack/membership/PeerNetworkSettings.java
@@ -34,10 +34,11 @@
   public static final int DEFAULT_MAX_UNPROVEN_CONNECTIONS = 64;
 
   /**
-   * Default load traffic. A node may spend 16 KB/s on control: 6 KB/s are sent, about as much is
-   * received, and the rest is left to heartbeats, release notes and the platform.
+   * Default load traffic. A node may spend 16 KB/s on control: 5 KB/s are sent, about as much is
+   * received, and the rest is left to keep-alive frames, acknowledgements of TCP, release notes and
+   * the platform.
    */
-  public static final int DEFAULT_LOAD_BYTES_PER_SECOND = 6_000;
+  public static final int DEFAULT_LOAD_BYTES_PER_SECOND = 5_000;
 
   private static final int MIN_KEY_BYTES = 16;
 
--- a/membership/src/main/java/org/lovagerack/membership/Transport.java
+++ b/membership/src/main/java/org/lovagerack/membership/Transport.java
@@ -79,8 +79,7 @@
   private String listening(Channel channel) {
     listener = channel;
     String configured = settings.advertisedAddress().orElse(settings.listenAddress());
-    int port = ((InetSocketAddress) channel.localAddress()).getPort();
-    String address = PeerAddress.withActualPort(configured, port);
+    String address = PeerAddress.withActualPort(configured, listeningPort());
     self = new PeerIdentity(settings.failureDomain(), address, settings.incarnation());
     channel.config().setAutoRead(true);
     return address;
@@ -106,7 +105,13 @@
             eventLoop.execute(() -> connection.connectFailed(future.cause()));
           }
         });
-    timer.after(HANDSHAKE_LIMIT, connection::closeUnlessProven);
+    timer.after(
+        HANDSHAKE_LIMIT,
+        () -> {
+          if (!connection.proven()) {
+            connection.shut("no handshake within " + HANDSHAKE_LIMIT);
+          }
+        });
     return connection;
   }
 
@@ -123,7 +128,13 @@
       return;
     }
     prepare(channel, connection, Optional.empty(), release);
-    eventLoop.execute(() -> timer.after(HANDSHAKE_LIMIT, connection::closeUnlessProven));
+    eventLoop.execute(() -> timer.after(HANDSHAKE_LIMIT, () -> rejectUnlessProven(connection)));
+  }
+
+  private static void rejectUnlessProven(Connection connection) {
+    if (!connection.proven()) {
+      connection.reject("no handshake within " + HANDSHAKE_LIMIT);
+    }
   }
 
   private void prepare(
@@ -154,6 +165,10 @@
     };
   }
 
+  int listeningPort() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
   long rejections() {
     return rejections.get();
   }
--- /dev/null
+++ b/membership/src/test/java/org/lovagerack/membership/HostileConnectionTest.java
@@ -0,0 +1,170 @@
+package org.lovagerack.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.membership.CallOutcome.Answered;
+import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
+import org.lovagerack.membership.generated.PeerProtocol.Challenge;
+import org.lovagerack.membership.generated.PeerProtocol.Frame;
+
+/** Guards against connections that break the protocol and harm more than themselves. */
+@Timeout(120)
+final class HostileConnectionTest {
+
+  private static final Challenge STRANGER = RawPeer.challenge("127.0.0.1:9", 77);
+  private static final byte[] LENGTH_OF_FIVE_MEBIBYTES = {
+    (byte) 0x80, (byte) 0x80, (byte) 0xc0, 0x02
+  };
+
+  /** What a test does on a connection; the node must close that connection and nothing else. */
+  private interface Attack {
+    void run(TestLoop loop, RawPeer connection) throws Exception;
+  }
+
+  private static void assertHarmsOnlyItself(Attack attack) throws Exception {
+    try (TestLoop loop = new TestLoop();
+        TestNode node =
+            new TestNode(loop, TestNode.at("127.0.0.1:0", Optional.empty(), 1), Set.of());
+        TestNode peer = TestNode.start(loop, 2, node.address)) {
+      loop.until(() -> node.sees(peer) && node.network.connectedAddresses() == 1);
+      try (RawPeer connection = new RawPeer(node.address)) {
+        attack.run(loop, connection);
+        connection.awaitClose();
+      }
+      loop.until(() -> node.network.rejectedConnections() > 0);
+
+      assertThat(node.network.rejectedConnections()).isEqualTo(1);
+      assertThat(node.callsReceived).isZero();
+      assertThat(loop.get(() -> node.sees(peer))).isTrue();
+      assertThat(peer.await(node.address, 1)).isInstanceOf(Answered.class);
+    }
+  }
+
+  @Property(seed = "4104", tries = 40)
+  void garbageFromAStranger(@ForAll @Size(min = 1, max = 3000) byte[] garbage) throws Exception {
+    assertHarmsOnlyItself((loop, connection) -> sendAndEnd(connection, garbage));
+  }
+
+  @Property(seed = "4105", tries = 40)
+  void garbageFromAProvenPeer(@ForAll @Size(min = 1, max = 3000) byte[] garbage) throws Exception {
+    assertHarmsOnlyItself((loop, connection) -> sendAndEnd(connection.prove(STRANGER), garbage));
+  }
+
+  @Test
+  void oversizeFrameFromAProvenPeer() throws Exception {
+    assertHarmsOnlyItself(
+        (loop, connection) ->
+            connection.prove(STRANGER).socket.getOutputStream().write(LENGTH_OF_FIVE_MEBIBYTES));
+  }
+
+  @Test
+  void frameOverTheSmallLimitFromAStranger() throws Exception {
+    // The length 1,025 in two bytes.
+    byte[] length = {(byte) 0x81, 0x08};
+    assertHarmsOnlyItself((loop, connection) -> connection.socket.getOutputStream().write(length));
+  }
+
+  @Test
+  void halfAFrameThenEnd() throws Exception {
+    assertHarmsOnlyItself(
+        (loop, connection) -> sendAndEnd(connection.prove(STRANGER), new byte[] {100, 1, 2, 3}));
+  }
+
+  @Test
+  void callBeforeTheProof() throws Exception {
+    Frame call = Frame.newBuilder().setCallRequest(CallRequest.getDefaultInstance()).build();
+    assertHarmsOnlyItself((loop, connection) -> connection.send(call));
+    assertHarmsOnlyItself(
+        (loop, connection) -> {
+          connection.send(STRANGER);
+          connection.send(call);
+        });
+  }
+
+  @Test
+  void wrongProof() throws Exception {
+    assertHarmsOnlyItself(
+        (loop, connection) -> {
+          connection.readChallenge();
+          connection.send(STRANGER);
+          // The node's own proof, sent back to it.
+          connection.sendProof(connection.readProof());
+        });
+  }
+
+  @Test
+  void handshakeThatIsNeverFinished() throws Exception {
+    assertHarmsOnlyItself(
+        (loop, connection) -> {
+          connection.readChallenge();
+          loop.advance(Duration.ofMillis(5_500));
+        });
+  }
+
+  @Test
+  void nodesWithDifferentKeysDoNotSeeEachOther() throws Exception {
+    Bytes otherKey = Bytes.ofText("key of another cluster");
+    try (TestLoop loop = new TestLoop();
+        TestNode node = TestNode.start(loop, 1);
+        TestNode stranger =
+            new TestNode(loop, TestNode.settings("domain-a", 2, otherKey), Set.of(node.address))) {
+      assertThat(stranger.await(node.address, 1)).isInstanceOf(CallOutcome.NotSent.class);
+      loop.advance(Duration.ofSeconds(3));
+
+      assertThat(loop.get(node.view::peers)).isEmpty();
+      assertThat(loop.get(stranger.view::peers)).isEmpty();
+    }
+  }
+
+  @Test
+  void unprovenConnectionsAreLimitedAndProvenOnesDoNotCount() throws Exception {
+    try (TestLoop loop = new TestLoop();
+        TestNode node =
+            new TestNode(loop, TestNode.at("127.0.0.1:0", Optional.empty(), 1), Set.of())) {
+      List<RawPeer> proven = new ArrayList<>();
+      for (int number = 0; number < 5; number++) {
+        proven.add(new RawPeer(node.address).prove(STRANGER));
+      }
+      List<RawPeer> unproven = new ArrayList<>();
+      for (int number = 0; number < 4; number++) {
+        RawPeer connection = new RawPeer(node.address);
+        connection.readChallenge();
+        unproven.add(connection);
+      }
+      try (RawPeer refused = new RawPeer(node.address)) {
+        refused.awaitClose();
+      }
+      unproven.remove(0).close();
+      loop.until(() -> canProve(node));
+      for (RawPeer connection : unproven) {
+        connection.close();
+      }
+      for (RawPeer connection : proven) {
+        connection.close();
+      }
+    }
+  }
+
+  private static boolean canProve(TestNode node) throws Exception {
+    try (RawPeer connection = new RawPeer(node.address)) {
+      Frame first = Frame.parseDelimitedFrom(connection.input);
+      return first != null && first.hasChallenge();
+    }
+  }
+
+  private static void sendAndEnd(RawPeer connection, byte[] bytes) throws Exception {
+    connection.socket.getOutputStream().write(bytes);
+    connection.socket.shutdownOutput();
+  }
+}
--- a/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
+++ b/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
@@ -2,18 +2,33 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.membership.CallOutcome.Answered;
+import org.lovagerack.membership.CallOutcome.ConnectionRefused;
+import org.lovagerack.membership.CallOutcome.NotSent;
+import org.lovagerack.membership.CallOutcome.Unknown;
+import org.lovagerack.membership.CallOutcome.WrongIncarnation;
+import org.lovagerack.membership.generated.PeerProtocol.Challenge;
+import org.lovagerack.membership.generated.PeerProtocol.Frame;
+import org.lovagerack.membership.generated.PeerProtocol.Heartbeat;
 
 /** Guards against calls and heartbeats that get lost or are attributed to the wrong process. */
 @Timeout(120)
 final class PeerNetworkTest {
 
+  private static final Answered ANSWER = new Answered(200, Bytes.ofText("submission-1"));
+  private static final Duration LONG = Duration.ofSeconds(20);
+
   private final TestLoop loop = new TestLoop();
 
   @AfterEach
@@ -34,23 +49,167 @@
                     PeerState.SERVING, 7, 3, Map.of("10.0.0.1:80", 5), 9, Set.of("10.0.0.2:80"));
             first.network.statusChanged();
           });
-      loop.until(() -> second.view.peer(first.address).orElseThrow().status().revision() == 7);
+      loop.until(() -> second.view.peer(first.address).orElseThrow().status().equals(first.status));
 
-      assertThat(loop.get(() -> second.view.peer(first.address).orElseThrow().status()))
-          .isEqualTo(first.status);
       assertThat(loop.get(() -> second.view.attemptsOfPeers("10.0.0.1:80"))).isEqualTo(5);
     }
   }
 
   @Test
-  void callIsAnsweredAcrossFailureDomains() throws Exception {
+  void pushesNoteOnlyToPeersThatLackIt() throws Exception {
+    try (TestNode first = TestNode.start(loop, 1);
+        TestNode second = TestNode.start(loop, 2, first.address);
+        TestNode third = TestNode.start(loop, 3, first.address)) {
+      second.status = new LocalStatus(PeerState.SERVING, 5, 0, Map.of(), 0, Set.of());
+      loop.until(() -> first.sees(third) && first.network.connectedAddresses() == 2);
+      loop.until(
+          () ->
+              first
+                  .view
+                  .peer(second.address)
+                  .map(peer -> peer.status().revision())
+                  .equals(Optional.of(5L)));
+
+      loop.run(() -> first.network.pushNote(5, Bytes.ofText("note")));
+      loop.run(() -> first.network.pushNote(6, Bytes.ofText("note")));
+
+      loop.until(() -> third.notes.size() == 2 && !second.notes.isEmpty());
+      assertThat(third.notes).containsExactly(5L, 6L);
+      assertThat(second.notes).containsExactly(6L);
+    }
+  }
+
+  @Test
+  void connectionToOtherFailureDomainIsClosedWhenIdle() throws Exception {
     try (TestNode owner = TestNode.start(loop, 1);
-        TestNode caller =
-            new TestNode(loop, TestNode.settings("domain-b", 2, TestNode.KEY), Set.of())) {
-      assertThat(caller.await(owner.address, 1))
-          .isEqualTo(new CallOutcome.Answered(200, Bytes.ofText("submission-1")));
+        TestNode caller = TestNode.startElsewhere(loop, 2)) {
+      assertThat(caller.await(owner.address, 1)).isEqualTo(ANSWER);
       assertThat(loop.get(() -> owner.view.peers())).isEmpty();
-      loop.advance(Duration.ofSeconds(1));
+
+      loop.run(() -> loop.timer.advance(Duration.ofSeconds(58)));
+      assertThat(loop.get(caller.network::connectedAddresses)).isEqualTo(1);
+      loop.run(() -> loop.timer.advance(Duration.ofSeconds(4)));
+      assertThat(loop.get(caller.network::connectedAddresses)).isZero();
+    }
+  }
+
+  @Test
+  void slowAnswerIsAwaitedAsLongAsTheOwnerShowsLife() throws Exception {
+    try (TestNode owner = TestNode.start(loop, 1);
+        TestNode caller = TestNode.startElsewhere(loop, 2)) {
+      owner.answering = false;
+      CompletableFuture<CallOutcome> outcome = caller.call(owner.address, 1, LONG);
+      loop.until(() -> !owner.heldReplies.isEmpty());
+      loop.advance(Duration.ofSeconds(8));
+      assertThat(outcome).isNotDone();
+
+      loop.run(() -> owner.heldReplies.get(0).answer(200, ANSWER.body()));
+
+      assertThat(caller.await(outcome)).isEqualTo(ANSWER);
+    }
+  }
+
+  @Test
+  void restartedProcessIsAnotherIncarnationAndAStoppedOneRefuses() throws Exception {
+    try (TestNode watcher = TestNode.start(loop, 1)) {
+      TestNode earlier = TestNode.start(loop, 2, watcher.address);
+      String address = earlier.address;
+      loop.until(() -> watcher.sees(earlier) && watcher.network.connectedAddresses() == 1);
+      earlier.close();
+      assertThat(watcher.await(address, 2)).isEqualTo(new ConnectionRefused());
+
+      PeerNetworkSettings settings = TestNode.at(address, Optional.empty(), 3);
+      try (TestNode later = new TestNode(loop, settings, Set.of(watcher.address))) {
+        loop.until(() -> watcher.sees(later));
+        assertThat(watcher.await(address, 2)).isEqualTo(new WrongIncarnation(3));
+        assertThat(watcher.await(address, 3)).isEqualTo(ANSWER);
+        assertThat(later.callsReceived).isEqualTo(1);
+      }
+    }
+  }
+
+  @Test
+  void connectionOfAReplacedIncarnationIsClosed() throws Exception {
+    String address = "127.0.0.1:9";
+    Challenge earlier = RawPeer.challenge(address, 21);
+    Challenge later = RawPeer.challenge(address, 22);
+    try (TestNode node = TestNode.start(loop, 1);
+        RawPeer first = new RawPeer(node.address).prove(earlier)) {
+      first.send(heartbeat(1, 3));
+      loop.until(() -> revision(node, address) == 3);
+      try (RawPeer second = new RawPeer(node.address).prove(later)) {
+        second.send(heartbeat(1, 4));
+        loop.until(() -> revision(node, address) == 4);
+        first.awaitClose();
+        assertThat(loop.get(() -> node.view.peer(address).orElseThrow().incarnation()))
+            .isEqualTo(22);
+      }
     }
   }
+
+  @Test
+  void silentConnectionsAreReplacedAndTheirCallsAreUnknown() throws Exception {
+    try (SilentProxy proxy = new SilentProxy();
+        TestNode second = TestNode.startBehind(proxy, loop, 2);
+        TestNode first = TestNode.start(loop, 1, proxy.address())) {
+      loop.until(() -> first.sees(second) && first.network.connectedAddresses() == 1);
+      int connections = proxy.connections();
+      proxy.silence();
+
+      assertThat(first.await(second.address, 2)).isInstanceOf(Unknown.class);
+
+      loop.until(() -> proxy.connections() > connections);
+      loop.until(() -> first.network.connectedAddresses() == 1);
+      assertThat(first.await(second.address, 2)).isEqualTo(ANSWER);
+    }
+  }
+
+  @Test
+  void callWhoseAnswerIsLostIsUnknown() throws Exception {
+    try (SilentProxy proxy = new SilentProxy();
+        TestNode owner = TestNode.startBehind(proxy, loop, 1);
+        TestNode caller = TestNode.startElsewhere(loop, 2)) {
+      assertThat(caller.await(proxy.address(), 1)).isEqualTo(ANSWER);
+      proxy.dropAnswers();
+
+      assertThat(caller.await(proxy.address(), 1)).isInstanceOf(Unknown.class);
+      assertThat(owner.callsReceived).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void callInProgressWhenTheOwnerStopsIsUnknown() throws Exception {
+    try (TestNode caller = TestNode.startElsewhere(loop, 2)) {
+      TestNode owner = TestNode.start(loop, 1);
+      owner.answering = false;
+      CompletableFuture<CallOutcome> outcome = caller.call(owner.address, 1, LONG);
+      loop.until(() -> owner.callsReceived == 1);
+      owner.close();
+
+      assertThat(caller.await(outcome)).isInstanceOf(Unknown.class);
+    }
+  }
+
+  @Test
+  void callIsNotSentWithoutAHandshake() throws Exception {
+    try (ServerSocket frozen = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        TestNode caller = TestNode.start(loop, 2)) {
+      String address = "127.0.0.1:" + frozen.getLocalPort();
+
+      assertThat(caller.await(address, 1)).isInstanceOf(NotSent.class);
+      assertThat(caller.await(caller.call(address, 1, Duration.ofSeconds(1))))
+          .isInstanceOf(NotSent.class);
+      assertThat(caller.await("not an address", 1)).isInstanceOf(NotSent.class);
+    }
+  }
+
+  private long revision(TestNode node, String address) throws Exception {
+    return node.view.peer(address).map(peer -> peer.status().revision()).orElse(0L);
+  }
+
+  private static Frame heartbeat(long sequence, long revision) {
+    return Frame.newBuilder()
+        .setHeartbeat(Heartbeat.newBuilder().setSequence(sequence).setRevision(revision))
+        .build();
+  }
 }
--- /dev/null
+++ b/membership/src/test/java/org/lovagerack/membership/SilentProxy.java
@@ -0,0 +1,104 @@
+package org.lovagerack.membership;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Forwards connections until told to keep the open ones open without forwarding any more. */
+final class SilentProxy implements AutoCloseable {
+
+  private final ServerSocket listener;
+  private final List<Socket> sockets = new ArrayList<>();
+  private volatile String target;
+  private volatile int silencedConnections;
+  private final AtomicInteger connections = new AtomicInteger();
+  private volatile boolean silentFromTarget;
+
+  SilentProxy() throws IOException {
+    listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  void forwardTo(String address) {
+    target = address;
+  }
+
+  int connections() {
+    return connections.get();
+  }
+
+  /** Forwards nothing more on the connections that exist now. */
+  void silence() {
+    silencedConnections = connections.get();
+  }
+
+  /** Drops what the target sends on any connection. */
+  void dropAnswers() {
+    silentFromTarget = true;
+  }
+
+  private void accept() throws IOException {
+    while (true) {
+      Socket client = listener.accept();
+      String host = target;
+      Socket server =
+          new Socket(PeerAddress.parse(host).getAddress(), PeerAddress.parse(host).getPort());
+      synchronized (sockets) {
+        sockets.add(client);
+        sockets.add(server);
+      }
+      int number = connections.incrementAndGet();
+      start(() -> copy(client, server, number, false));
+      start(() -> copy(server, client, number, true));
+    }
+  }
+
+  private void copy(Socket from, Socket to, int number, boolean fromTarget) throws IOException {
+    InputStream input = from.getInputStream();
+    OutputStream output = to.getOutputStream();
+    byte[] buffer = new byte[8192];
+    for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+      if (number > silencedConnections && !(fromTarget && silentFromTarget)) {
+        output.write(buffer, 0, count);
+      }
+    }
+    to.close();
+  }
+
+  private interface Action {
+    void run() throws IOException;
+  }
+
+  private static void start(Action action) {
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                action.run();
+              } catch (IOException e) {
+                // The test closed the sockets.
+                return;
+              }
+            });
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    synchronized (sockets) {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+}
--- a/membership/src/test/java/org/lovagerack/membership/TestLoop.java
+++ b/membership/src/test/java/org/lovagerack/membership/TestLoop.java
@@ -10,6 +10,7 @@
 final class TestLoop implements AutoCloseable {
 
   private static final Duration STEP = Duration.ofMillis(10);
+  private static final int MAX_STEPS = 10_000;
 
   final DrivenTimer timer = new DrivenTimer();
   final ExecutorService executor = Executors.newSingleThreadExecutor();
@@ -22,9 +23,12 @@
     executor.submit(action).get();
   }
 
-  /** Lets timer time pass until a condition holds; the JUnit timeout guards against hanging. */
+  /** Lets timer time pass until a condition holds, and fails after a long time without it. */
   void until(Callable<Boolean> condition) throws Exception {
-    while (!get(condition)) {
+    for (int steps = 0; !get(condition); steps++) {
+      if (steps == MAX_STEPS) {
+        throw new AssertionError("the condition did not hold after " + steps + " steps of " + STEP);
+      }
       advance(STEP);
     }
   }
--- a/membership/src/test/java/org/lovagerack/membership/TestNode.java
+++ b/membership/src/test/java/org/lovagerack/membership/TestNode.java
@@ -24,6 +24,7 @@
   final long incarnation;
   final List<Long> notes = new ArrayList<>();
   LocalStatus status = LocalStatus.initial();
+  final List<CallReply> heldReplies = new ArrayList<>();
   boolean answering = true;
   int callsReceived;
 
@@ -54,7 +55,7 @@
 
   static PeerNetworkSettings at(String listen, Optional<String> advertised, long incarnation) {
     return new PeerNetworkSettings(
-        "domain-a", listen, advertised, incarnation, KEY, 4 << 20, 4, 6_000);
+        "domain-a", listen, advertised, incarnation, KEY, 4 << 20, 4, 5_000);
   }
 
   CompletableFuture<CallOutcome> call(String target, long expected, Duration timeout)
@@ -68,6 +69,19 @@
     return outcome;
   }
 
+  /** Starts a node whose address is that of a proxy. */
+  static TestNode startBehind(SilentProxy proxy, TestLoop loop, long incarnation) throws Exception {
+    PeerNetworkSettings settings = at("127.0.0.1:0", Optional.of(proxy.address()), incarnation);
+    TestNode node = new TestNode(loop, settings, Set.of());
+    proxy.forwardTo("127.0.0.1:" + node.network.listeningPort());
+    return node;
+  }
+
+  /** Starts a node of another failure domain. */
+  static TestNode startElsewhere(TestLoop loop, long incarnation) throws Exception {
+    return new TestNode(loop, settings("domain-b", incarnation, KEY), Set.of());
+  }
+
   /** Calls and lets time pass until the outcome is there. */
   CallOutcome await(String target, long expected) throws Exception {
     return await(call(target, expected, Duration.ofSeconds(20)));
@@ -90,6 +104,8 @@
     callsReceived++;
     if (answering) {
       reply.answer(200, Bytes.ofText(request.getStatus().getSubmissionId()));
+    } else {
+      heldReplies.add(reply);
     }
   }
 
