--- /dev/null
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/RecordingTransport.java
@@ -0,0 +1,86 @@
+package org.lovagerack.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.lovagerack.foundation.data.Bytes;
+
+/** Keeps attempts until the test answers them. */
+final class RecordingTransport implements UpstreamTransport {
+
+  final List<Sent> sent = new ArrayList<>();
+  final Map<String, Integer> connectionLimits = new HashMap<>();
+  final List<String> idleClosed = new ArrayList<>();
+  private final Consumer<Sent> onStart;
+
+  RecordingTransport(Consumer<Sent> onStart) {
+    this.onStart = onStart;
+  }
+
+  @Override
+  public Attempt start(AttemptRequest request, AttemptListener listener) {
+    Sent attempt = new Sent(request, listener);
+    onStart.accept(attempt);
+    sent.add(attempt);
+    return attempt;
+  }
+
+  @Override
+  public void limitConnections(String upstream, int connections) {
+    connectionLimits.put(upstream, connections);
+  }
+
+  @Override
+  public void closeIdleConnections(String upstream) {
+    idleClosed.add(upstream);
+  }
+
+  /** Returns the attempts without a result that were not cancelled. */
+  List<Sent> open() {
+    return sent.stream().filter(Sent::open).toList();
+  }
+
+  /** Returns the open attempts at an upstream. */
+  int openAt(String upstream) {
+    return (int) open().stream().filter(s -> s.request.upstream().equals(upstream)).count();
+  }
+
+  /** One attempt that the dispatcher started. */
+  static final class Sent implements Attempt {
+
+    final AttemptRequest request;
+    private final AttemptListener listener;
+    AttemptResult result;
+    boolean cancelled;
+
+    Sent(AttemptRequest request, AttemptListener listener) {
+      this.request = request;
+      this.listener = listener;
+    }
+
+    boolean open() {
+      return result == null && !cancelled;
+    }
+
+    void deliver(AttemptResult value) {
+      result = value;
+      listener.onResult(value);
+    }
+
+    /** Answers with the key of the task, which identifies the answer. */
+    void succeed() {
+      answer(200);
+    }
+
+    void answer(int status) {
+      deliver(new AttemptResult.Answered(status, Bytes.ofText(request.taskKey()), false));
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+  }
+}
