--- /dev/null
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/FailureHandlingTest.java
@@ -0,0 +1,140 @@
+package org.lovagerack.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.lovagerack.dispatch.DispatcherFixture.FAST;
+import static org.lovagerack.dispatch.DispatcherFixture.SLOW;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.Failure;
+import org.lovagerack.foundation.error.RunOutcome;
+
+/** Guards ejection, hedging and the treatment of silent connections. */
+final class FailureHandlingTest {
+
+  private DispatcherFixture fixture = DispatcherFixture.withFastAndSlow();
+
+  // Guards against an upstream that attracts tasks by failing them quickly.
+  @Test
+  void ejectsAfterThreeFailuresForTwiceAsLongEachTime() {
+    failOn(FAST, 3);
+    assertThat(fixture.events).containsExactly("ejected for 1 s");
+
+    fixture.advance(1000);
+    failOn(FAST, 1);
+    assertThat(fixture.events).containsExactly("ejected for 1 s", "PROBE", "ejected for 2 s");
+
+    fixture.advance(2000);
+    fixture.submit("probe", false, true, 1000);
+    fixture.advance(0);
+    fixture.open("probe").succeed();
+    assertThat(fixture.events).endsWith("PROBE", "readmitted");
+  }
+
+  // Guards against ejecting sound upstreams when the tasks are bad.
+  @Test
+  void ejectsAtMostHalfOfTheUpstreams() {
+    for (int i = 0; i < 20; i++) {
+      fixture.answerNext(500, "bad" + i);
+    }
+
+    assertThat(fixture.events.stream().filter(event -> event.startsWith("ejected"))).hasSize(1);
+  }
+
+  // Guards against tasks that hang on a silent connection, and against reusing such connections.
+  @Test
+  void replacesConnectionsOfOverdueAttempts() {
+    fixture.learnSpeeds();
+    fixture.transport.idleClosed.clear();
+    fixture.submit("silent", false, false, 1000);
+    fixture.advance(600);
+    assertThat(fixture.events).endsWith("suspect");
+    assertThat(fixture.transport.idleClosed).containsExactly(FAST);
+
+    fixture.advance(500);
+    assertThat(failure("silent").kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+    assertThat(failure("silent").outcome()).isEqualTo(RunOutcome.MAY_HAVE_RUN);
+    fixture.dispatcher.upstreamLeaving(SLOW);
+    fixture.submit("next", false, false, 1000);
+    fixture.advance(0);
+    assertThat(fixture.open("next").request.freshConnection()).isTrue();
+  }
+
+  // Guards against attempts that occupy a slot for ever.
+  @Test
+  void givesUpAfterTheLongestRunTimeOfTheService() {
+    fixture.submit("hanging", false, false, 60_000);
+    fixture.advance(4001);
+
+    assertThat(failure("hanging").kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+    assertThat(fixture.dispatcher.inFlightByUpstream()).isEmpty();
+  }
+
+  // Guards against hedges that the message weight forbids, and against two answers.
+  @Test
+  void hedgesSlowRepeatableTasksUnlessMessagesWeighAll() {
+    assertThat(hedges(0)).isPositive();
+    assertThat(hedges(1)).isZero();
+  }
+
+  // Guards against idle connections that turn silent unnoticed.
+  @Test
+  void closesConnectionsThatWereIdleForFiveSeconds() {
+    fixture.answerNext(200, "only");
+    fixture.advance(4500);
+    assertThat(fixture.transport.idleClosed).isEmpty();
+
+    fixture.advance(2000);
+
+    assertThat(fixture.transport.idleClosed).hasSize(1);
+  }
+
+  // Guards against starts by an out-of-date view after a pause, and against lost queued tasks.
+  @Test
+  void holdsStartsAfterPauseUntilReleasedOrOver() {
+    fixture.submit("expired", false, false, 100);
+    fixture.timer.pause(Duration.ofSeconds(2));
+    fixture.dispatcher.holdStarts(Duration.ofMillis(500));
+    assertThat(failure("expired").outcome()).isEqualTo(RunOutcome.NOT_RUN);
+    fixture.submit("waiting", false, false, 2000);
+    fixture.advance(499);
+    assertThat(fixture.openKeys()).isEmpty();
+
+    fixture.advance(1);
+
+    assertThat(fixture.openKeys()).containsExactly("waiting");
+  }
+
+  private int hedges(double messageWeight) {
+    fixture =
+        new DispatcherFixture(
+            Definitions.service(messageWeight),
+            Definitions.upstream(FAST, 2),
+            Definitions.upstream(SLOW, 2));
+    for (int i = 0; i < 400; i++) {
+      fixture.submit("task" + i, false, true, 3000);
+      // Every twentieth task is slow, so slow tasks are rarer than the hedge budget allows.
+      fixture.advance(i % 20 == 0 ? 400 : 50);
+      fixture.transport.open().forEach(RecordingTransport.Sent::succeed);
+    }
+    assertThat(fixture.outcomes.values()).hasOnlyElementsOfType(TaskOutcome.Succeeded.class);
+    return (int) fixture.events.stream().filter("HEDGE"::equals).count();
+  }
+
+  private void failOn(String upstream, int failures) {
+    for (int i = 0; i < failures; i++) {
+      String key = "failing" + fixture.transport.sent.size();
+      fixture.submit("other" + key, false, false, 900);
+      fixture.submit(key, false, false, 900);
+      fixture.advance(0);
+      for (RecordingTransport.Sent sent : fixture.transport.open()) {
+        sent.answer(sent.request.upstream().equals(upstream) ? 500 : 200);
+      }
+    }
+  }
+
+  private Failure failure(String key) {
+    return ((TaskOutcome.Failed) fixture.outcomes.get(key)).failure();
+  }
+}
