--- /dev/null
+++ b/burn/src/main/java/org/lovagerack/burn/BurnOutcome.java
@@ -0,0 +1,36 @@
+package org.lovagerack.burn;
+
+/** How a job counts against the objective of its service. Cancelled jobs are not recorded. */
+public enum BurnOutcome {
+  /** The whole answer was ready before the deadline; the only outcome that uses no budget. */
+  ON_TIME("onTime", "on time"),
+  /** The whole answer came after the deadline, or the deadline passed first. */
+  LATE("late", "late"),
+  /** The job was refused before any task was started. */
+  REFUSED("refused", "refused"),
+  /** The job failed, and it is known what was run. */
+  FAILED("failed", "failed"),
+  /** The job failed, and it cannot be known whether a task was run. */
+  MAY_HAVE_RUN("mayHaveRun", "may have run");
+
+  private final String wireName;
+  private final String title;
+
+  BurnOutcome(String wireName, String title) {
+    this.wireName = wireName;
+    this.title = title;
+  }
+
+  /** Returns whether a job with this outcome uses error budget. */
+  public boolean bad() {
+    return this != ON_TIME;
+  }
+
+  String wireName() {
+    return wireName;
+  }
+
+  String title() {
+    return title;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/BurnAnswers.java
@@ -0,0 +1,70 @@
+package org.lovagerack.daemon.operator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.Optional;
+import org.lovagerack.burn.BurnRecorder;
+import org.lovagerack.burn.BurnSnapshot;
+import org.lovagerack.burn.BurnSnapshotCodec;
+import org.lovagerack.daemon.answer.Answer;
+import org.lovagerack.foundation.error.LovagerackException;
+import org.lovagerack.membership.CallOutcome;
+
+/** The service-level burn of this entry VM and of all others. */
+public final class BurnAnswers {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK = 200;
+
+  private final String address;
+  private final BurnRecorder recorder;
+
+  /**
+   * Creates the answers.
+   *
+   * @param address peer address of this entry VM
+   * @param recorder counts of this entry VM
+   */
+  public BurnAnswers(String address, BurnRecorder recorder) {
+    this.address = address;
+    this.recorder = recorder;
+  }
+
+  /** Returns the snapshot of this entry VM. */
+  public Answer local() {
+    return Answer.json(OK, BurnSnapshotCodec.encode(recorder.snapshot()));
+  }
+
+  /**
+   * Returns the merged snapshot of this entry VM and of those that answered, and the addresses of
+   * both kinds. An entry VM whose answer cannot be read is listed as unreachable.
+   *
+   * @param outcomes answers of the others to the same question, by address
+   */
+  public Answer merge(Map<String, CallOutcome> outcomes) {
+    ObjectNode root = MAPPER.createObjectNode();
+    ArrayNode reached = root.putArray("reached").add(address);
+    ArrayNode unreachable = root.putArray("unreachable");
+    BurnSnapshot merged = recorder.snapshot();
+    for (Map.Entry<String, CallOutcome> outcome : outcomes.entrySet()) {
+      Optional<BurnSnapshot> snapshot = read(outcome.getValue());
+      merged = snapshot.map(merged::merge).orElse(merged);
+      (snapshot.isPresent() ? reached : unreachable).add(outcome.getKey());
+    }
+    root.set("snapshot", BurnSnapshotCodec.toJson(merged));
+    return Answer.json(OK, root.toString());
+  }
+
+  private static Optional<BurnSnapshot> read(CallOutcome outcome) {
+    if (!(outcome instanceof CallOutcome.Answered answered) || answered.status() != OK) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(BurnSnapshotCodec.decode(answered.body().toText()));
+    } catch (LovagerackException e) {
+      return Optional.empty();
+    }
+  }
+}
