--- a/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
@@ -26,6 +26,7 @@
   OUTCOME_UNKNOWN(502, 8, Guarantee.NONE, "The outcome of a task cannot be known"),
   OWNER_LOST(502, 8, Guarantee.NONE, "The entry VM that owned the submission is gone"),
   OWNER_UNREACHABLE(503, 6, Guarantee.NONE, "The entry VM that owns the submission is unreachable"),
+  ENTRY_UNREACHABLE(503, 6, Guarantee.NONE, "No entry VM answered"),
   PLATFORM_UNAVAILABLE(503, 9, Guarantee.NONE, "The platform is unavailable"),
   NOTE_INVALID(422, 2, Guarantee.NONE, "The release note is not valid"),
   NOTE_CONFLICT(409, 4, Guarantee.NONE, "Another release note was published first"),
--- /dev/null
+++ b/operator/src/main/java/org/lovagerack/operator/Result.java
@@ -0,0 +1,32 @@
+package org.lovagerack.operator;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.lovagerack.foundation.error.Failure;
+
+/**
+ * The result of a command. A failure may come with a result, such as a revision that was accepted
+ * but is not in force everywhere yet.
+ *
+ * @param text the result for people, whole lines
+ * @param json the result for programs
+ * @param failure what went wrong; sets the exit code
+ */
+record Result(String text, ObjectNode json, Optional<Failure> failure) {
+
+  static Result of(String text, ObjectNode json) {
+    return new Result(text, json, Optional.empty());
+  }
+
+  static Result failed(Failure failure) {
+    return new Result("", Json.object(), Optional.of(failure));
+  }
+
+  Result withFailure(Failure reason) {
+    return new Result(text, json, Optional.of(reason));
+  }
+
+  int exitCode() {
+    return failure.map(reason -> reason.kind().exitCode()).orElse(0);
+  }
+}
--- a/operator/src/main/java/org/lovagerack/operator/package-info.java
+++ b/operator/src/main/java/org/lovagerack/operator/package-info.java
@@ -1,2 +1,2 @@
-/** The command line lovagerack. */
+/** The command line lovagerack for operators. */
 package org.lovagerack.operator;
