Refuse a request without a body at the platform stand-in

Cause: a POST without a body was answered with 500 and a stack trace. Change: it is refused with 400 and applied: false, as the protocol says.

--- a/standins/src/main/java/org/lovagerack/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/lovagerack/standins/PlatformStandIn.java
@@ -204,7 +204,8 @@
   /** Returns the body of a request; empty after refusing one that cannot be read. */
   private static <T> Optional<T> parse(RoutingContext context, Class<T> type) {
     try {
-      byte[] body = context.body().buffer().getBytes();
+      Buffer buffer = context.body().buffer();
+      byte[] body = buffer == null ? new byte[0] : buffer.getBytes();
       return Optional.of(PlatformProtocol.MAPPER.readValue(body, type));
     } catch (IOException e) {
       refuse(context, MALFORMED, "the request cannot be read: " + e.getMessage());
