--- a/membership/src/main/java/org/lovagerack/membership/LocalStatus.java
+++ b/membership/src/main/java/org/lovagerack/membership/LocalStatus.java
@@ -21,8 +21,17 @@
     long vmListVersion,
     Set<String> leavingUpstreams) {
 
+  /**
+   * @throws IllegalArgumentException if a count is negative
+   */
   public LocalStatus {
     inFlight = Map.copyOf(inFlight);
+    inFlight.forEach(
+        (upstream, count) -> {
+          if (count < 0) {
+            throw new IllegalArgumentException(count + " attempts in flight to " + upstream);
+          }
+        });
     leavingUpstreams = Set.copyOf(leavingUpstreams);
   }
 
--- a/membership/src/test/java/org/lovagerack/membership/HostileConnectionTest.java
+++ b/membership/src/test/java/org/lovagerack/membership/HostileConnectionTest.java
@@ -132,25 +132,20 @@
     try (TestLoop loop = new TestLoop();
         TestNode node =
             new TestNode(loop, TestNode.at("127.0.0.1:0", Optional.empty(), 1), Set.of())) {
-      List<RawPeer> proven = new ArrayList<>();
+      List<RawPeer> connections = new ArrayList<>();
       for (int number = 0; number < 5; number++) {
-        proven.add(new RawPeer(node.address).prove(STRANGER));
+        connections.add(new RawPeer(node.address).prove(STRANGER));
       }
-      List<RawPeer> unproven = new ArrayList<>();
       for (int number = 0; number < 4; number++) {
-        RawPeer connection = new RawPeer(node.address);
-        connection.readChallenge();
-        unproven.add(connection);
+        connections.add(new RawPeer(node.address));
+        connections.getLast().readChallenge();
       }
       try (RawPeer refused = new RawPeer(node.address)) {
         refused.awaitClose();
       }
-      unproven.remove(0).close();
+      connections.getLast().close();
       loop.until(() -> canProve(node));
-      for (RawPeer connection : unproven) {
-        connection.close();
-      }
-      for (RawPeer connection : proven) {
+      for (RawPeer connection : connections) {
         connection.close();
       }
     }
--- a/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
+++ b/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
@@ -86,9 +86,9 @@
       assertThat(caller.await(owner.address, 1)).isEqualTo(ANSWER);
       assertThat(loop.get(() -> owner.view.peers())).isEmpty();
 
-      loop.run(() -> loop.timer.advance(Duration.ofSeconds(58)));
+      loop.skip(Duration.ofSeconds(58));
       assertThat(loop.get(caller.network::connectedAddresses)).isEqualTo(1);
-      loop.run(() -> loop.timer.advance(Duration.ofSeconds(4)));
+      loop.skip(Duration.ofSeconds(4));
       assertThat(loop.get(caller.network::connectedAddresses)).isZero();
     }
   }
@@ -164,6 +164,40 @@
     }
   }
 
+  @Test
+  void connectionsAndCallsSurviveAPauseOfTheProcess() throws Exception {
+    try (TestNode first = TestNode.start(loop, 1);
+        TestNode second = TestNode.start(loop, 2, first.address)) {
+      loop.until(() -> first.sees(second) && second.sees(first));
+      loop.until(() -> first.network.connectedAddresses() == 1);
+      second.answering = false;
+      CompletableFuture<CallOutcome> outcome = first.call(second.address, 2, LONG);
+      loop.until(() -> !second.heldReplies.isEmpty());
+
+      loop.pause(Duration.ofSeconds(10));
+      loop.advance(Duration.ofSeconds(5));
+      loop.run(() -> second.heldReplies.get(0).answer(200, ANSWER.body()));
+
+      assertThat(first.await(outcome)).isEqualTo(ANSWER);
+      assertThat(first.sees(second)).isTrue();
+    }
+  }
+
+  @Test
+  void earlierConnectionDoesNotProveThatALaterProcessIsGone() throws Exception {
+    try (SilentProxy proxy = new SilentProxy();
+        TestNode frozen = TestNode.startBehind(proxy, loop, 2);
+        TestNode caller = TestNode.startElsewhere(loop, 1)) {
+      assertThat(caller.await(proxy.address(), 2)).isEqualTo(ANSWER);
+      proxy.silence();
+      try (TestNode owner = TestNode.startBehind(proxy, loop, 3)) {
+        assertThat(caller.await(owner.address, 3)).isEqualTo(ANSWER);
+        assertThat(caller.await(owner.address, 2)).isEqualTo(new WrongIncarnation(3));
+        assertThat(frozen.callsReceived).isEqualTo(1);
+      }
+    }
+  }
+
   @Test
   void callWhoseAnswerIsLostIsUnknown() throws Exception {
     try (SilentProxy proxy = new SilentProxy();
--- a/membership/src/test/java/org/lovagerack/membership/TestLoop.java
+++ b/membership/src/test/java/org/lovagerack/membership/TestLoop.java
@@ -5,16 +5,44 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.lovagerack.foundation.timer.DrivenTimer;
+import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.foundation.timer.TimerSubscription;
 
 /** The event loop of all nodes of a test; timer time passes only while a test waits or advances. */
-final class TestLoop implements AutoCloseable {
+final class TestLoop implements AutoCloseable, TimerService {
 
   private static final Duration STEP = Duration.ofMillis(10);
   private static final int MAX_STEPS = 10_000;
 
-  final DrivenTimer timer = new DrivenTimer();
+  private final DrivenTimer timer = new DrivenTimer();
+  private long pausedNanos;
   final ExecutorService executor = Executors.newSingleThreadExecutor();
 
+  @Override
+  public long nanoTime() {
+    return timer.nanoTime() + pausedNanos;
+  }
+
+  @Override
+  public TimerSubscription after(Duration delay, Runnable callback) {
+    return timer.after(delay, callback);
+  }
+
+  @Override
+  public TimerSubscription every(Duration period, Runnable callback) {
+    return timer.every(period, callback);
+  }
+
+  /** Lets time pass as if all processes were paused: callbacks run late. */
+  void pause(Duration duration) throws Exception {
+    run(() -> pausedNanos += duration.toNanos());
+  }
+
+  /** Lets time pass without waiting for the network. */
+  void skip(Duration duration) throws Exception {
+    run(() -> timer.advance(duration));
+  }
+
   <T> T get(Callable<T> action) throws Exception {
     return executor.submit(action).get();
   }
--- a/membership/src/test/java/org/lovagerack/membership/TestNode.java
+++ b/membership/src/test/java/org/lovagerack/membership/TestNode.java
@@ -31,10 +31,10 @@
   TestNode(TestLoop loop, PeerNetworkSettings settings, Set<String> peers) throws Exception {
     this.loop = loop;
     this.incarnation = settings.incarnation();
-    this.view = new MembershipView(loop.timer, peers);
+    this.view = new MembershipView(loop, peers);
     this.network =
         new PeerNetwork(
-            loop.timer,
+            loop,
             loop.executor,
             settings,
             new Random(settings.incarnation()),
