--- /dev/null
+++ b/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
@@ -0,0 +1,202 @@
+package org.lovagerack.scenarios;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.lovagerack.standins.cluster.BlockingHttp;
+import org.lovagerack.standins.cluster.Cluster;
+import org.lovagerack.standins.cluster.JobKind;
+import org.lovagerack.standins.cluster.ProcessGroup;
+import org.lovagerack.standins.cluster.SubmittedJob;
+import org.lovagerack.standins.cluster.Workload;
+
+/** Guards the rules under faults of real processes: kill, freeze, platform outage, silence. */
+final class ProcessFaultTest {
+
+  @TempDir Path folder;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final BlockingHttp http = new BlockingHttp(vertx);
+  private ProcessGroup processes;
+  private Cluster cluster;
+  private Workload workload;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    processes = new ProcessGroup(folder);
+    cluster = new Cluster(processes, http, folder);
+    cluster.start();
+    cluster.awaitInForce(cluster.publish(cluster.firstNote()));
+    workload = new Workload(cluster, http);
+  }
+
+  @AfterEach
+  void stop() {
+    processes.close();
+    vertx.close();
+  }
+
+  /** A replacement that remembers nothing must not run a submission of its predecessor. */
+  @Test
+  void killedOwnerAndItsReplacementStartNothingAgain()
+      throws IOException, InterruptedException, ExecutionException {
+    Cluster.EntryVm owner = cluster.entryVms().get(0);
+    Cluster.EntryVm peer = cluster.entryVms().get(1);
+    SubmittedJob job = workload.newJob(JobKind.RISER_LAYOUT, owner);
+    try (ExecutorService caller = Executors.newVirtualThreadPerTaskExecutor()) {
+      Future<?> lost = caller.submit(() -> submitIgnoringLoss(job.resubmission(), owner));
+      awaitStarts(job);
+      owner.process().destroyForcibly();
+      lost.get();
+    }
+    Map<String, Integer> started = cluster.starts();
+
+    workload.submit(job, peer);
+    assertThat(job.problemKind()).isEqualTo("owner-lost");
+    assertThat(job.saysNotRun()).isFalse();
+
+    Cluster.EntryVm replacement = cluster.replace(owner);
+    cluster.awaitInForce(1);
+    SubmittedJob again = job.resubmission();
+    workload.submit(again, replacement);
+    assertThat(again.problemKind()).isEqualTo("owner-lost");
+    assertThat(cluster.starts()).isEqualTo(started);
+    assertThat(started.values()).allMatch(count -> count == 1);
+  }
+
+  /** A frozen owner that resumes must not run beside anybody who took its work over. */
+  @Test
+  void frozenOwnerIsTheOnlyOneThatStartsItsSubmission() throws Exception {
+    Cluster.EntryVm owner = cluster.entryVms().get(0);
+    Cluster.EntryVm peer = cluster.entryVms().get(1);
+    SubmittedJob job = workload.newJob(JobKind.RISER_LAYOUT, owner);
+    try (ExecutorService caller = Executors.newVirtualThreadPerTaskExecutor()) {
+      Future<?> waiting = caller.submit(() -> submitIgnoringLoss(job, owner));
+      awaitStarts(job);
+      signal("STOP", owner);
+      SubmittedJob elsewhere = job.resubmission();
+      submitForStatus(elsewhere, peer);
+      assertThat(elsewhere.problemKind()).isEqualTo("owner-unreachable");
+      assertThat(elsewhere.saysNotRun()).isFalse();
+      signal("CONT", owner);
+      waiting.get();
+    }
+
+    SubmittedJob later = job.resubmission();
+    workload.submit(later, peer);
+    assertThat(later.state()).isIn("completed", "failed");
+    assertThat(cluster.starts().values()).allMatch(count -> count == 1);
+  }
+
+  /** An outage of the platform must stop neither tasks nor the start of an entry VM. */
+  @Test
+  void platformOutageStopsPublishingOnly() throws IOException, InterruptedException {
+    cluster.platformFaults(new JsonObject().put("down", true));
+
+    BlockingHttp.Reply rejected =
+        cluster.operatorCall(
+            HttpMethod.POST,
+            cluster.entryVms().getFirst(),
+            "notes",
+            new JsonObject().put("noteId", "in-outage").put("baseRevision", 1).encode());
+    assertThat(rejected.json().getString("kind")).isEqualTo("platform-unavailable");
+    Cluster.EntryVm replaced = cluster.entryVms().get(0);
+    replaced.process().destroyForcibly().waitFor();
+    Cluster.EntryVm replacement = cluster.replace(replaced);
+    cluster.awaitInForce(1);
+
+    SubmittedJob job = workload.newJob(JobKind.PARENT_ALERT, replacement);
+    workload.submit(job, cluster.entryVms().get(1));
+    assertThat(job.hasWholeOwnAnswer()).isTrue();
+  }
+
+  /** Connections that went silent must not lose tasks that may be repeated. */
+  @Test
+  void repeatableTasksSurviveSilentConnections() throws IOException, InterruptedException {
+    Cluster.EntryVm owner = cluster.entryVms().get(0);
+    SubmittedJob first = workload.newJob(JobKind.SECTION_SWAP, owner);
+    workload.submit(first, owner);
+    assertThat(first.hasWholeOwnAnswer()).isTrue();
+
+    for (Cluster.Upstream upstream : cluster.upstreams()) {
+      http.call(HttpMethod.POST, upstream.address(), "/control/silence", Map.of(), "");
+    }
+
+    SubmittedJob second = workload.newJob(JobKind.SECTION_SWAP, owner);
+    workload.submit(second, owner);
+    assertThat(second.hasWholeOwnAnswer()).isTrue();
+  }
+
+  /** An upstream that the platform's list names as leaving must get no new tasks. */
+  @Test
+  void upstreamThatThePlatformListsAsLeavingGetsNoNewTasks()
+      throws IOException, InterruptedException {
+    Cluster.Upstream leaving = cluster.upstreams().get(3);
+    cluster.platformVms(
+        new JsonArray()
+            .add(
+                new JsonObject()
+                    .put("address", leaving.address())
+                    .put("failureDomain", leaving.failureDomain())
+                    .put("role", "UPSTREAM")
+                    .put("state", "LEAVING")));
+    Thread.sleep(4_000);
+    Map<String, Integer> before = cluster.startsAt(leaving);
+
+    SubmittedJob job = workload.newJob(JobKind.RISER_LAYOUT, cluster.entryVms().get(0));
+    workload.submit(job, cluster.entryVms().get(0));
+
+    assertThat(job.hasWholeOwnAnswer()).isTrue();
+    assertThat(cluster.startsAt(leaving)).isEqualTo(before);
+  }
+
+  private Void submitIgnoringLoss(SubmittedJob job, Cluster.EntryVm entryVm)
+      throws InterruptedException {
+    try {
+      workload.submit(job, entryVm);
+    } catch (IOException e) {
+      // The caller lost its connection; what it does next is the point of the test.
+      return null;
+    }
+    return null;
+  }
+
+  /** Submits without waiting for the end of the job. */
+  private void submitForStatus(SubmittedJob job, Cluster.EntryVm entryVm)
+      throws IOException, InterruptedException {
+    BlockingHttp.Reply reply =
+        http.call(
+            HttpMethod.POST,
+            entryVm.address(),
+            "/v1/jobs",
+            Map.of("Idempotency-Key", job.id()),
+            job.body());
+    job.finish(reply, 0);
+  }
+
+  private void awaitStarts(SubmittedJob job) throws IOException, InterruptedException {
+    while (cluster.starts().keySet().stream().noneMatch(task -> task.startsWith(job.id()))) {
+      Thread.sleep(10);
+    }
+  }
+
+  private static void signal(String name, Cluster.EntryVm entryVm)
+      throws IOException, InterruptedException {
+    String pid = Long.toString(entryVm.process().pid());
+    assertThat(new ProcessBuilder("kill", "-" + name, pid).start().waitFor()).isZero();
+  }
+}
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/BlockingHttp.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
@@ -1,4 +1,4 @@
-package org.lovagerack.standins.demonstration;
+package org.lovagerack.standins.cluster;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -16,10 +16,10 @@
 import java.util.concurrent.TimeoutException;
 
 /** Calls HTTP interfaces and waits for the answer. */
-final class BlockingHttp {
+public final class BlockingHttp {
 
   /** Status and body of an answer. */
-  record Reply(int status, String body) {
+  public record Reply(int status, String body) {
 
     JsonObject json() {
       return new JsonObject(body);
@@ -32,7 +32,7 @@
 
   private final HttpClient client;
 
-  BlockingHttp(Vertx vertx) {
+  public BlockingHttp(Vertx vertx) {
     client =
         vertx.createHttpClient(
             new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
@@ -44,7 +44,7 @@
    *
    * @throws IOException if no whole answer came
    */
-  Reply call(
+  public Reply call(
       HttpMethod method, String address, String path, Map<String, String> headers, String body)
       throws IOException, InterruptedException {
     int colon = address.lastIndexOf(':');
@@ -69,7 +69,7 @@
     }
   }
 
-  Reply get(String address, String path) throws IOException, InterruptedException {
+  public Reply get(String address, String path) throws IOException, InterruptedException {
     return call(HttpMethod.GET, address, path, Map.of(), "");
   }
 }
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/Cluster.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/Cluster.java
@@ -1,4 +1,4 @@
-package org.lovagerack.standins.demonstration;
+package org.lovagerack.standins.cluster;
 
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
@@ -14,22 +14,30 @@
 import java.util.Map;
 
 /** The processes of the demonstration: platform, upstreams and entry VMs of two failure domains. */
-final class Cluster {
+public final class Cluster {
+
+  /** Name of the one service. */
+  public static final String SERVICE = "seating";
+
+  /** Failure domains. */
+  public static final List<String> FAILURE_DOMAINS = List.of("nordvik-1", "nordvik-2");
 
-  static final List<String> FAILURE_DOMAINS = List.of("nordvik-1", "nordvik-2");
   private static final int ENTRY_VMS_PER_DOMAIN = 2;
   private static final List<Double> UPSTREAM_SPEEDS = List.of(1.0, 2.0, 3.0, 4.0);
-  static final int SLOTS = 8;
+
+  /** Slots of an upstream. */
+  public static final int SLOTS = 8;
+
   private static final int CONNECTIONS = 64;
   private static final String PLATFORM_KEY = "demonstration-platform-key";
   private static final String CLUSTER_KEY = "demonstration-cluster-key";
   private static final String OPERATOR_KEY = "demonstration-operator-key";
 
   /** An entry VM of the demonstration. */
-  record EntryVm(String name, String failureDomain, String address, Process process) {}
+  public record EntryVm(String name, String failureDomain, String address, Process process) {}
 
   /** An upstream of the demonstration. */
-  record Upstream(String failureDomain, String address, double speed) {}
+  public record Upstream(String failureDomain, String address, double speed) {}
 
   private final ProcessGroup processes;
   private final BlockingHttp http;
@@ -40,23 +48,24 @@
   private final List<Upstream> upstreams = new ArrayList<>();
   private String platformAddress;
 
-  Cluster(ProcessGroup processes, BlockingHttp http, Path folder) {
+  public Cluster(ProcessGroup processes, BlockingHttp http, Path folder) {
     this.processes = processes;
     this.http = http;
     this.folder = folder;
-    this.daemonClassPath = System.getProperty("lovagerack.daemon.classpath");
+    this.daemonClassPath =
+        System.getProperty("lovagerack.daemon.classpath", System.getProperty("java.class.path"));
     this.standInClassPath = System.getProperty("java.class.path");
   }
 
-  List<EntryVm> entryVms() {
+  public List<EntryVm> entryVms() {
     return List.copyOf(entryVms);
   }
 
-  List<Upstream> upstreams() {
+  public List<Upstream> upstreams() {
     return List.copyOf(upstreams);
   }
 
-  void start() throws IOException, InterruptedException {
+  public void start() throws IOException, InterruptedException {
     platformAddress =
         processes
             .start(
@@ -93,15 +102,27 @@
       String name = "entry-" + domain + "-" + (i + 1);
       List<String> others = new ArrayList<>(peers);
       String own = others.remove(i);
-      Path file = folder.resolve(name + ".json");
-      Files.writeString(file, settings(domain, own, others).encodePrettily());
-      ProcessGroup.Started started =
-          processes.start(
-              name, daemonClassPath, "org.lovagerack.daemon.Lovagerackd", List.of(file.toString()));
-      entryVms.add(new EntryVm(name, domain, started.address(), started.process()));
+      Files.writeString(
+          folder.resolve(name + ".json"), settings(domain, own, others).encodePrettily());
+      entryVms.add(startEntryVm(name, domain));
     }
   }
 
+  /** Starts an entry VM in the place of one that has ended, with the same peer address. */
+  public EntryVm replace(EntryVm ended) throws IOException {
+    EntryVm replacement = startEntryVm(ended.name(), ended.failureDomain());
+    entryVms.set(entryVms.indexOf(ended), replacement);
+    return replacement;
+  }
+
+  private EntryVm startEntryVm(String name, String domain) throws IOException {
+    Path file = folder.resolve(name + ".json");
+    ProcessGroup.Started started =
+        processes.start(
+            name, daemonClassPath, "org.lovagerack.daemon.Lovagerackd", List.of(file.toString()));
+    return new EntryVm(name, domain, started.address(), started.process());
+  }
+
   private JsonObject settings(String domain, String own, List<String> others) {
     return new JsonObject()
         .put("region", "nordvik")
@@ -118,7 +139,7 @@
   }
 
   /** Publishes a release note and returns its revision. */
-  long publish(JsonObject note) throws IOException, InterruptedException {
+  public long publish(JsonObject note) throws IOException, InterruptedException {
     BlockingHttp.Reply reply =
         operatorCall(HttpMethod.POST, entryVms.getFirst(), "notes", note.encode());
     if (reply.status() != 200) {
@@ -128,20 +149,20 @@
   }
 
   /** Returns the service with all upstreams as a first release note. */
-  JsonObject firstNote(String service) {
+  public JsonObject firstNote() {
     JsonArray upstreamNodes = new JsonArray();
     upstreams.forEach(
         upstream ->
             upstreamNodes.add(
                 new JsonObject()
                     .put("address", upstream.address())
-                    .put("service", service)
+                    .put("service", SERVICE)
                     .put("failureDomain", upstream.failureDomain())
                     .put("slots", SLOTS)
                     .put("connections", CONNECTIONS)));
     JsonObject serviceNode =
         new JsonObject()
-            .put("name", service)
+            .put("name", SERVICE)
             .put("path", "/tasks")
             .put("messageWeight", 0.5)
             .put("maxQueuedTasks", 5_000)
@@ -158,7 +179,7 @@
   }
 
   /** Waits until every live entry VM has applied a revision; returns the milliseconds it took. */
-  long awaitInForce(long revision) throws IOException, InterruptedException {
+  public long awaitInForce(long revision) throws IOException, InterruptedException {
     long start = System.nanoTime();
     for (EntryVm entryVm : entryVms) {
       while (entryVm.process().isAlive() && revisionOf(entryVm) < revision) {
@@ -173,7 +194,26 @@
     return reply.json().getLong("revision");
   }
 
-  private BlockingHttp.Reply operatorCall(
+  /** Replaces the faults of the platform, as {@code docs/platform-protocol.md} describes them. */
+  public void platformFaults(JsonObject faults) throws IOException, InterruptedException {
+    controlPlatform("faults", faults.encode());
+  }
+
+  /** Replaces the platform's list of VMs. */
+  public void platformVms(JsonArray entries) throws IOException, InterruptedException {
+    controlPlatform("vms", entries.encode());
+  }
+
+  private void controlPlatform(String what, String body) throws IOException, InterruptedException {
+    BlockingHttp.Reply reply =
+        http.call(HttpMethod.POST, platformAddress, "/control/" + what, Map.of(), body);
+    if (reply.status() >= 300) {
+      throw new IOException("the platform rejected " + body + ": " + reply.body());
+    }
+  }
+
+  /** Calls an operator's call at an entry VM. */
+  public BlockingHttp.Reply operatorCall(
       HttpMethod method, EntryVm entryVm, String call, String body)
       throws IOException, InterruptedException {
     return http.call(
@@ -185,7 +225,7 @@
   }
 
   /** Returns how often each task was started, over all upstreams. */
-  Map<String, Integer> starts() throws IOException, InterruptedException {
+  public Map<String, Integer> starts() throws IOException, InterruptedException {
     Map<String, Integer> starts = new HashMap<>();
     for (Upstream upstream : upstreams) {
       startsAt(upstream).forEach((task, count) -> starts.merge(task, count, Integer::sum));
@@ -194,7 +234,7 @@
   }
 
   /** Returns how often each task was started at one upstream. */
-  Map<String, Integer> startsAt(Upstream upstream) throws IOException, InterruptedException {
+  public Map<String, Integer> startsAt(Upstream upstream) throws IOException, InterruptedException {
     Map<String, Integer> starts = new HashMap<>();
     http.get(upstream.address(), "/control/starts")
         .json()
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/JobKind.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/JobKind.java
@@ -1,9 +1,9 @@
-package org.lovagerack.standins.demonstration;
+package org.lovagerack.standins.cluster;
 
 import java.time.Duration;
 
 /** The kinds of jobs that the demonstration submits. */
-enum JobKind {
+public enum JobKind {
   SECTION_SWAP("section-swap", 1, 80, true, true),
   RISER_LAYOUT("riser-layout", 150, 120, true, false),
   PARENT_ALERT("parent-alert", 40, 60, false, false);
@@ -24,27 +24,27 @@
     this.repeatable = repeatable;
   }
 
-  String kind() {
+  public String kind() {
     return kind;
   }
 
-  int taskCount() {
+  public int taskCount() {
     return taskCount;
   }
 
-  int workMillis() {
+  public int workMillis() {
     return workMillis;
   }
 
-  boolean urgent() {
+  public boolean urgent() {
     return urgent;
   }
 
-  boolean repeatable() {
+  public boolean repeatable() {
     return repeatable;
   }
 
-  Duration timeLimit() {
+  public Duration timeLimit() {
     return TIME_LIMIT;
   }
 }
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/ProcessGroup.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/ProcessGroup.java
@@ -1,4 +1,4 @@
-package org.lovagerack.standins.demonstration;
+package org.lovagerack.standins.cluster;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -13,19 +13,19 @@
 import java.util.regex.Pattern;
 
 /** Starts Java processes, waits until each listens, and ends all of them. */
-final class ProcessGroup implements AutoCloseable {
+public final class ProcessGroup implements AutoCloseable {
 
   private static final Pattern LISTENING = Pattern.compile("listening on (\\S+)");
   private static final int STOP_SECONDS = 10;
 
   /** A started process and the address that it printed. */
-  record Started(Process process, String address) {}
+  public record Started(Process process, String address) {}
 
   private final String java;
   private final Path logFolder;
   private final List<Process> processes = new ArrayList<>();
 
-  ProcessGroup(Path logFolder) {
+  public ProcessGroup(Path logFolder) {
     this.java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     this.logFolder = logFolder;
   }
@@ -35,7 +35,7 @@
    *
    * @throws IOException if the process ends first
    */
-  Started start(String name, String classPath, String mainClass, List<String> arguments)
+  public Started start(String name, String classPath, String mainClass, List<String> arguments)
       throws IOException {
     List<String> command = new ArrayList<>(List.of(java, "-Xmx256m", "-XX:+UseSerialGC"));
     command.addAll(List.of("--enable-native-access=ALL-UNNAMED", "-cp", classPath, mainClass));
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/SubmittedJob.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/SubmittedJob.java
@@ -1,4 +1,4 @@
-package org.lovagerack.standins.demonstration;
+package org.lovagerack.standins.cluster;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** A job of the demonstration and how it ended. */
-final class SubmittedJob {
+public final class SubmittedJob {
 
   private final JobKind kind;
   private final int number;
@@ -16,43 +16,43 @@
   private List<String> answers = List.of();
   private long responseMillis;
 
-  SubmittedJob(JobKind kind, int number, String id) {
+  public SubmittedJob(JobKind kind, int number, String id) {
     this.kind = kind;
     this.number = number;
     this.id = id;
   }
 
   /** Returns the same job, not answered yet. */
-  SubmittedJob resubmission() {
+  public SubmittedJob resubmission() {
     return new SubmittedJob(kind, number, id);
   }
 
-  JobKind kind() {
+  public JobKind kind() {
     return kind;
   }
 
-  String id() {
+  public String id() {
     return id;
   }
 
-  String state() {
+  public String state() {
     return state;
   }
 
-  String problemKind() {
+  public String problemKind() {
     return problem.getString("kind", "none");
   }
 
-  boolean saysNotRun() {
+  public boolean saysNotRun() {
     return "not-run".equals(problem.getString("outcome"));
   }
 
-  long responseMillis() {
+  public long responseMillis() {
     return responseMillis;
   }
 
   /** Returns the body of the job. */
-  String body() {
+  public String body() {
     JsonArray tasks = new JsonArray();
     for (int i = 0; i < kind.taskCount(); i++) {
       tasks.add(
@@ -62,7 +62,7 @@
               .put("repeatable", kind.repeatable()));
     }
     return new JsonObject()
-        .put("service", Demonstration.SERVICE)
+        .put("service", Cluster.SERVICE)
         .put("kind", kind.kind())
         .put("urgent", kind.urgent())
         .put("deadlineMillis", kind.timeLimit().toMillis())
@@ -79,7 +79,7 @@
   }
 
   /** Takes the answer to the submission or to a later question. */
-  void finish(BlockingHttp.Reply reply, long elapsedMillis) {
+  public void finish(BlockingHttp.Reply reply, long elapsedMillis) {
     JsonObject json = reply.json();
     responseMillis = elapsedMillis;
     state = json.getString("state", "failed");
@@ -93,7 +93,7 @@
   }
 
   /** Returns whether every answer is there, in order, and to its own task. */
-  boolean hasWholeOwnAnswer() {
+  public boolean hasWholeOwnAnswer() {
     if (answers.size() != kind.taskCount()) {
       return false;
     }
@@ -109,7 +109,7 @@
    * Returns the earliest finish that any schedule could reach on the empty failure domain,
    * milliseconds.
    */
-  double idealMillis(double fastestSpeed, double capacity) {
+  public double idealMillis(double fastestSpeed, double capacity) {
     double longest = kind.workMillis() / fastestSpeed;
     return Math.max(longest, kind.workMillis() * kind.taskCount() / capacity);
   }
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/Workload.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/Workload.java
@@ -1,4 +1,4 @@
-package org.lovagerack.standins.demonstration;
+package org.lovagerack.standins.cluster;
 
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
@@ -14,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Submits jobs as callers do, through entry VMs that a balancer picks in turn. */
-final class Workload {
+public final class Workload {
 
   private static final int ASK_AGAIN_MILLIS = 100;
   private static final int FAULT_AFTER_MILLIS = 150;
@@ -24,7 +24,7 @@
   private final AtomicInteger turn = new AtomicInteger();
   private final AtomicInteger jobNumbers = new AtomicInteger();
 
-  Workload(Cluster cluster, BlockingHttp http) {
+  public Workload(Cluster cluster, BlockingHttp http) {
     this.cluster = cluster;
     this.http = http;
   }
@@ -36,7 +36,7 @@
    * @param counts number of jobs of each kind
    * @param fault what happens while they run
    */
-  List<SubmittedJob> run(Map<JobKind, Integer> counts, Runnable fault)
+  public List<SubmittedJob> run(Map<JobKind, Integer> counts, Runnable fault)
       throws IOException, InterruptedException {
     List<SubmittedJob> jobs = new ArrayList<>();
     for (JobKind kind : JobKind.values()) {
@@ -65,13 +65,19 @@
     return jobs;
   }
 
-  /** Submits a job and waits for its answer. */
-  void submit(SubmittedJob job) throws IOException, InterruptedException {
+  /** Submits a job to the next entry VM and waits for its answer. */
+  public void submit(SubmittedJob job) throws IOException, InterruptedException {
+    submit(job, nextEntryVm());
+  }
+
+  /** Submits a job to an entry VM and waits for its answer. */
+  public void submit(SubmittedJob job, Cluster.EntryVm entryVm)
+      throws IOException, InterruptedException {
     long start = System.nanoTime();
     BlockingHttp.Reply reply =
         http.call(
             HttpMethod.POST,
-            nextEntryVm().address(),
+            entryVm.address(),
             "/v1/jobs",
             Map.of("Idempotency-Key", job.id(), "Prefer", "wait"),
             job.body());
@@ -92,19 +98,29 @@
   private List<String> issue(int count) throws IOException, InterruptedException {
     List<String> ids = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      BlockingHttp.Reply reply =
-          http.call(
-              HttpMethod.POST,
-              nextEntryVm().address(),
-              "/v1/submission-ids",
-              Map.of(),
-              new JsonObject().put("count", 1).encode());
-      JsonArray issued = reply.json().getJsonArray("ids");
-      ids.add(issued.getString(0));
+      ids.add(issue(nextEntryVm()));
     }
     return ids;
   }
 
+  private String issue(Cluster.EntryVm owner) throws IOException, InterruptedException {
+    BlockingHttp.Reply reply =
+        http.call(
+            HttpMethod.POST,
+            owner.address(),
+            "/v1/submission-ids",
+            Map.of(),
+            new JsonObject().put("count", 1).encode());
+    JsonArray issued = reply.json().getJsonArray("ids");
+    return issued.getString(0);
+  }
+
+  /** Returns a job that was not submitted yet, whose identifier is owned by an entry VM. */
+  public SubmittedJob newJob(JobKind kind, Cluster.EntryVm owner)
+      throws IOException, InterruptedException {
+    return new SubmittedJob(kind, jobNumbers.incrementAndGet(), issue(owner));
+  }
+
   /** Picks a live entry VM, as the platform's balancer does with a short delay. */
   private Cluster.EntryVm nextEntryVm() {
     List<Cluster.EntryVm> live =
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/Demonstration.java
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/Demonstration.java
@@ -8,6 +8,12 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import org.lovagerack.standins.cluster.BlockingHttp;
+import org.lovagerack.standins.cluster.Cluster;
+import org.lovagerack.standins.cluster.JobKind;
+import org.lovagerack.standins.cluster.ProcessGroup;
+import org.lovagerack.standins.cluster.SubmittedJob;
+import org.lovagerack.standins.cluster.Workload;
 
 /**
  * Runs the whole system as separate processes, kills an entry VM and stops another one while jobs
@@ -15,8 +21,6 @@
  */
 public final class Demonstration {
 
-  static final String SERVICE = "seating";
-
   /** A withdrawn upstream gets no new work after this time, milliseconds. */
   private static final long WITHDRAWAL_MILLIS = 3_000;
 
@@ -48,7 +52,7 @@
   }
 
   private boolean run() throws IOException, InterruptedException {
-    long revision = cluster.publish(cluster.firstNote(SERVICE));
+    long revision = cluster.publish(cluster.firstNote());
     System.out.println(
         "revision " + revision + " in force after " + cluster.awaitInForce(revision) + " ms");
 
--- a/standins/src/main/java/org/lovagerack/standins/demonstration/Report.java
+++ b/standins/src/main/java/org/lovagerack/standins/demonstration/Report.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import org.lovagerack.standins.cluster.Cluster;
+import org.lovagerack.standins.cluster.JobKind;
+import org.lovagerack.standins.cluster.SubmittedJob;
 
 /** Collects the outcomes of the demonstration and prints them. */
 final class Report {
