Keep following when starting a call throws

Cause: a table service, object store or note source that throws instead of returning a failed stage left the follower waiting forever. Change: LimitedCall starts the call itself and treats what it throws as a failure. Ruled out: a guard at each caller, because the next caller would forget it.

--- a/notes/src/main/java/org/lovagerack/notes/LimitedCall.java
+++ b/notes/src/main/java/org/lovagerack/notes/LimitedCall.java
@@ -1,10 +1,12 @@
 package org.lovagerack.notes;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
@@ -20,15 +22,16 @@
   private LimitedCall() {}
 
   /**
-   * Calls one of the two consumers, once; an answer after the time limit is dropped.
+   * Starts a call and calls one of the two consumers, once; an answer after the time limit is
+   * dropped.
    *
    * @param onFailure receives the failure of the stage, a {@link TimeoutException}, or what {@code
-   *     onValue} threw
+   *     call} or {@code onValue} threw
    */
   static <T> void await(
       TimerService timer,
       Duration limit,
-      CompletionStage<T> call,
+      Supplier<CompletionStage<T>> call,
       Consumer<T> onValue,
       Consumer<Throwable> onFailure) {
     LimitedCall state = new LimitedCall();
@@ -41,18 +44,28 @@
               }
             });
     var unused =
-        call.whenComplete(
-            (value, failure) -> {
-              if (!state.settle()) {
-                return;
-              }
-              expiry.cancel();
-              if (failure == null) {
-                pass(value, onValue, onFailure);
-              } else {
-                onFailure.accept(unwrapped(failure));
-              }
-            });
+        started(call)
+            .whenComplete(
+                (value, failure) -> {
+                  if (!state.settle()) {
+                    return;
+                  }
+                  expiry.cancel();
+                  if (failure == null) {
+                    pass(value, onValue, onFailure);
+                  } else {
+                    onFailure.accept(unwrapped(failure));
+                  }
+                });
+  }
+
+  private static <T> CompletionStage<T> started(Supplier<CompletionStage<T>> call) {
+    try {
+      return call.get();
+    } catch (RuntimeException e) {
+      LOG.write(LogEvent.UNEXPECTED_ERROR, e);
+      return CompletableFuture.failedStage(e);
+    }
   }
 
   /** A stage would swallow what its callback throws, and the caller would wait forever. */
--- a/notes/src/main/java/org/lovagerack/notes/NoteFollower.java
+++ b/notes/src/main/java/org/lovagerack/notes/NoteFollower.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.lovagerack.foundation.error.LovagerackException;
 import org.lovagerack.foundation.event.EventLog;
@@ -140,7 +141,7 @@
     }
     polling = true;
     nextPoll.cancel();
-    await(table.readHead(), this::onHead, this::onPlatformFailure);
+    await(table::readHead, this::onHead, this::onPlatformFailure);
   }
 
   private void onHead(Head head) {
@@ -157,7 +158,7 @@
 
   private void loadSnapshot(Head head) {
     await(
-        objects.get(NoteTable.snapshotName(head.snapshot())),
+        () -> objects.get(NoteTable.snapshotName(head.snapshot())),
         json -> {
           if (json.isPresent() && takeSnapshot(head.snapshot(), json.get())) {
             readRows(head);
@@ -196,7 +197,7 @@
       return;
     }
     await(
-        table.readAfter(before),
+        () -> table.readAfter(before),
         rows -> {
           rows.forEach(this::applyRow);
           if (ledger.revision() > before) {
@@ -234,7 +235,7 @@
     LimitedCall.await(
         timer,
         PEER_LIMIT,
-        peers.catchUpAfter(ledger.revision()),
+        () -> peers.catchUpAfter(ledger.revision()),
         answers -> {
           answers.stream()
               .sorted(Comparator.comparingLong(CatchUp::revision).reversed())
@@ -317,7 +318,7 @@
   }
 
   private <T> void await(
-      CompletionStage<T> call, Consumer<T> onValue, Consumer<Throwable> onFailure) {
+      Supplier<CompletionStage<T>> call, Consumer<T> onValue, Consumer<Throwable> onFailure) {
     LimitedCall.await(timer, PLATFORM_LIMIT, call, onValue, onFailure);
   }
 }
--- a/notes/src/main/java/org/lovagerack/notes/NotePublication.java
+++ b/notes/src/main/java/org/lovagerack/notes/NotePublication.java
@@ -66,7 +66,7 @@
     LimitedCall.await(
         timer,
         CALL_LIMIT,
-        table.readHead(),
+        table::readHead,
         this::onHead,
         failure -> retry("the head cannot be read: " + failure.getMessage()));
   }
@@ -89,7 +89,7 @@
     LimitedCall.await(
         timer,
         CALL_LIMIT,
-        table.readAfter(after),
+        () -> table.readAfter(after),
         rows -> onRows(rows, after, headRevision),
         failure -> retry("the notes cannot be read: " + failure.getMessage()));
   }
@@ -155,7 +155,7 @@
     LimitedCall.await(
         timer,
         CALL_LIMIT,
-        table.commitNote(head, note),
+        () -> table.commitNote(head, note),
         committed -> {
           if (committed == CommitResult.COMMITTED) {
             accept(note, next.revision(), false);
--- a/notes/src/test/java/org/lovagerack/notes/NoteFollowerTest.java
+++ b/notes/src/test/java/org/lovagerack/notes/NoteFollowerTest.java
@@ -179,6 +179,24 @@
     assertThat(revisions).containsExactly(0L, 1L, 2L);
   }
 
+  @Test
+  void keepsPollingWhenAskingPeersThrows() {
+    FakePlatform.View view = simulation.platform.new View();
+    NoteSource defect =
+        revision -> {
+          throw new IllegalStateException("defect of a note source");
+        };
+    NoteFollower follower =
+        new NoteFollower(simulation.timer, simulation.random, view, view, defect);
+    view.reachable = false;
+    follower.start();
+    settle();
+    view.reachable = true;
+    settle();
+
+    assertThat(follower.deployment()).isPresent();
+  }
+
   @Test
   void logsAnotherNoteForAnAppliedRevisionAndIgnoresIt() {
     settle();
