Find fast upstreams that were never tried; search the fastest one less often

The search for the fastest upstream scanned all upstreams for every job.

Change: upstreams with few observations rank as faster than estimated; the fastest one is searched every 100 ms and when the set of upstreams changes.

Ruled out: random exploration, which costs slow runs at all times.

--- a/dispatch/src/main/java/org/lovagerack/dispatch/AdmissionControl.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AdmissionControl.java
@@ -51,7 +51,7 @@
       return refuse(ErrorKind.NO_UPSTREAM, "service " + job.service() + " has no upstream");
     }
     Estimate estimate = estimate(service, job);
-    double fastest = estimate.longestWork * service.pool().fastestTimePerUnit();
+    double fastest = estimate.longestWork * service.pool().fastestTimePerUnit(alarms.now());
     if (fastest > remaining) {
       return refuse(
           ErrorKind.IMPOSSIBLE_JOB,
--- a/dispatch/src/main/java/org/lovagerack/dispatch/ExpectedReleases.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/ExpectedReleases.java
@@ -58,9 +58,11 @@
   /** Releases that tasks earlier in the queue have not claimed yet. */
   static final class Forecast {
 
-    // A task that waits also delays the tasks behind it. In trials at 70 % load, weights from 2 to
-    // 4
-    // gave the smallest 99th percentile, and weight 1 twice that value.
+    // A task that waits also delays the tasks behind it. In trials at 70 % load, the 99th
+    // percentile
+    // of response time against the ideal was 2.1 to 2.3 with weights from 2 to 4, and up to 5.4
+    // with
+    // weight 1.
     private static final double WAIT_WEIGHT = 4;
 
     private final long nowNanos;
--- a/dispatch/src/main/java/org/lovagerack/dispatch/Scheduler.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/Scheduler.java
@@ -96,7 +96,7 @@
   private static boolean shouldAwaitFaster(TaskState task, double onFree, long now) {
     long remaining = task.spec().deadlineNanos() - now;
     return onFree > remaining
-        && task.work() * task.service().pool().fastestTimePerUnit() <= remaining;
+        && task.work() * task.service().pool().fastestTimePerUnit(now) <= remaining;
   }
 
   /** Returns whether even a slow run of the task meets its deadline. */
--- a/dispatch/src/main/java/org/lovagerack/dispatch/SpeedEstimate.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/SpeedEstimate.java
@@ -11,6 +11,10 @@
   // A change of a single observation beyond this is more likely a wrong run time than the upstream.
   private static final double LARGEST_RESIDUAL = 1.6;
 
+  // An unobserved upstream ranks as if it were twice as fast as expected. Otherwise the first
+  // upstreams that are fast enough would be used for ever, and faster ones never found.
+  private static final double OPTIMISM = 0.7;
+
   private double logTimePerUnit;
   private double timePerUnit;
   private int observations;
@@ -40,13 +44,18 @@
    */
   void relax(double targetLogTimePerUnit, double share) {
     set(logTimePerUnit + share * (targetLogTimePerUnit - logTimePerUnit));
-    observations = Math.min(observations, 3);
+    observations = Math.min(observations, 9);
   }
 
   double logTimePerUnit() {
     return logTimePerUnit;
   }
 
+  /** Returns the logarithm by which to rank, which favours upstreams with few observations. */
+  double optimisticLogTimePerUnit() {
+    return logTimePerUnit - OPTIMISM / (observations + 1);
+  }
+
   double timePerUnit() {
     return timePerUnit;
   }
--- a/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamDirectory.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamDirectory.java
@@ -186,6 +186,7 @@
     Member member = upstreams.get(address);
     if (member != null) {
       member.upstream.setLeaving(value);
+      member.service.pool().presenceChanged();
       member.service.pool().update(member.upstream);
     }
   }
--- a/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
@@ -17,20 +17,26 @@
       Comparator.comparingDouble((UpstreamState upstream) -> upstream.rank)
           .thenComparingInt(UpstreamState::index);
 
+  private static final long FASTEST_VALID_NANOS = 100_000_000;
+
   private final Set<UpstreamState> members = new LinkedHashSet<>();
   private final TreeSet<UpstreamState> free = new TreeSet<>(BY_RANK);
   private final TreeSet<UpstreamState> belowShare = new TreeSet<>(BY_RANK);
   private final Set<UpstreamState> probeDue = new LinkedHashSet<>();
   private double capacity;
+  private double fastest;
+  private long fastestNanos = Long.MIN_VALUE;
   private int shareSlots;
 
   void add(UpstreamState upstream) {
     members.add(upstream);
+    presenceChanged();
     update(upstream);
   }
 
   void remove(UpstreamState upstream) {
     members.remove(upstream);
+    presenceChanged();
     update(upstream);
   }
 
@@ -126,17 +132,28 @@
     return members.isEmpty() ? 0 : sum / members.size();
   }
 
-  /** Returns the smallest time per unit of the upstreams that are present. */
-  double fastestTimePerUnit() {
-    double fastest = Double.POSITIVE_INFINITY;
-    for (UpstreamState upstream : members) {
-      if (upstream.present()) {
-        fastest = Math.min(fastest, upstream.speed().timePerUnit());
+  /**
+   * Returns the smallest time per unit of the upstreams that are present. The scan over all members
+   * is repeated after {@link #FASTEST_VALID_NANOS} only.
+   */
+  double fastestTimePerUnit(long nowNanos) {
+    if (fastestNanos == Long.MIN_VALUE || nowNanos - fastestNanos > FASTEST_VALID_NANOS) {
+      fastest = Double.POSITIVE_INFINITY;
+      for (UpstreamState upstream : members) {
+        if (upstream.present()) {
+          fastest = Math.min(fastest, upstream.speed().timePerUnit());
+        }
       }
+      fastestNanos = nowNanos;
     }
     return fastest;
   }
 
+  /** Has the fastest upstream searched again, because the set of present ones has changed. */
+  void presenceChanged() {
+    fastestNanos = Long.MIN_VALUE;
+  }
+
   /** Sums the capacity again, which removes accumulated rounding errors. */
   void recalculateCapacity() {
     capacity = 0;
--- a/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamState.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamState.java
@@ -104,7 +104,7 @@
   double currentRank() {
     int beyond = ownInFlight + 1 - Math.ceilDiv(definition.slots(), liveEntryVms);
     double offset = liveEntryVms == 1 ? 0 : rankOffset;
-    return speed.logTimePerUnit() + offset + PENALTY_BEYOND_SHARE * Math.max(0, beyond);
+    return speed.optimisticLogTimePerUnit() + offset + PENALTY_BEYOND_SHARE * Math.max(0, beyond);
   }
 
   void define(UpstreamDefinition newDefinition) {
