--- a/dispatch/src/main/java/org/lovagerack/dispatch/ExpectedReleases.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/ExpectedReleases.java
@@ -1,6 +1,5 @@
 package org.lovagerack.dispatch;
 
-import java.util.Comparator;
 import java.util.TreeSet;
 
 /** Attempts in flight of one service in order of the time at which their slot is expected free. */
@@ -10,10 +9,7 @@
   private static final double LATE_SHARE = 0.5;
   private static final long LEAST_LATE_NANOS = 1_000_000;
 
-  private final TreeSet<AttemptState> attempts =
-      new TreeSet<>(
-          Comparator.comparingLong((AttemptState attempt) -> attempt.expectedFinishNanos)
-              .thenComparingLong(AttemptState::id));
+  private final TreeSet<AttemptState> attempts = new TreeSet<>(ExpectedReleases::compare);
 
   void add(AttemptState attempt) {
     attempts.add(attempt);
@@ -45,6 +41,11 @@
     return forecast;
   }
 
+  private static int compare(AttemptState first, AttemptState second) {
+    int byTime = Long.compare(first.expectedFinishNanos, second.expectedFinishNanos);
+    return byTime != 0 ? byTime : Long.compare(first.id(), second.id());
+  }
+
   private void postponeLate(long nowNanos) {
     while (!attempts.isEmpty() && attempts.first().expectedFinishNanos <= nowNanos) {
       AttemptState attempt = attempts.pollFirst();
@@ -58,9 +59,11 @@
   /** Releases that tasks earlier in the queue have not claimed yet. */
   static final class Forecast {
 
-    // A task that waits also delays the tasks behind it. In trials at 70 % load, weights from 2 to
-    // 4
-    // gave the smallest 99th percentile, and weight 1 twice that value.
+    // A task that waits also delays the tasks behind it. In trials at 70 % load, the 99th
+    // percentile
+    // of response time against the ideal was 2.1 to 2.3 with weights from 2 to 4, and up to 5.4
+    // with
+    // weight 1.
     private static final double WAIT_WEIGHT = 4;
 
     private final long nowNanos;
--- a/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
@@ -1,7 +1,6 @@
 package org.lovagerack.dispatch;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.TreeSet;
@@ -13,24 +12,26 @@
  */
 final class UpstreamPool {
 
-  private static final Comparator<UpstreamState> BY_RANK =
-      Comparator.comparingDouble((UpstreamState upstream) -> upstream.rank)
-          .thenComparingInt(UpstreamState::index);
+  private static final long FASTEST_VALID_NANOS = 100_000_000;
 
   private final Set<UpstreamState> members = new LinkedHashSet<>();
-  private final TreeSet<UpstreamState> free = new TreeSet<>(BY_RANK);
-  private final TreeSet<UpstreamState> belowShare = new TreeSet<>(BY_RANK);
+  private final TreeSet<UpstreamState> free = new TreeSet<>(UpstreamPool::compareRanks);
+  private final TreeSet<UpstreamState> belowShare = new TreeSet<>(UpstreamPool::compareRanks);
   private final Set<UpstreamState> probeDue = new LinkedHashSet<>();
   private double capacity;
+  private double fastest;
+  private long fastestNanos = Long.MIN_VALUE;
   private int shareSlots;
 
   void add(UpstreamState upstream) {
     members.add(upstream);
+    presenceChanged();
     update(upstream);
   }
 
   void remove(UpstreamState upstream) {
     members.remove(upstream);
+    presenceChanged();
     update(upstream);
   }
 
@@ -126,17 +127,28 @@
     return members.isEmpty() ? 0 : sum / members.size();
   }
 
-  /** Returns the smallest time per unit of the upstreams that are present. */
-  double fastestTimePerUnit() {
-    double fastest = Double.POSITIVE_INFINITY;
-    for (UpstreamState upstream : members) {
-      if (upstream.present()) {
-        fastest = Math.min(fastest, upstream.speed().timePerUnit());
+  /**
+   * Returns the smallest time per unit of the upstreams that are present. The scan over all members
+   * is repeated after {@link #FASTEST_VALID_NANOS} only.
+   */
+  double fastestTimePerUnit(long nowNanos) {
+    if (fastestNanos == Long.MIN_VALUE || nowNanos - fastestNanos > FASTEST_VALID_NANOS) {
+      fastest = Double.POSITIVE_INFINITY;
+      for (UpstreamState upstream : members) {
+        if (upstream.present()) {
+          fastest = Math.min(fastest, upstream.speed().timePerUnit());
+        }
       }
+      fastestNanos = nowNanos;
     }
     return fastest;
   }
 
+  /** Has the fastest upstream searched again, because the set of present ones has changed. */
+  void presenceChanged() {
+    fastestNanos = Long.MIN_VALUE;
+  }
+
   /** Sums the capacity again, which removes accumulated rounding errors. */
   void recalculateCapacity() {
     capacity = 0;
@@ -145,6 +157,11 @@
     }
   }
 
+  private static int compareRanks(UpstreamState first, UpstreamState second) {
+    int byRank = Double.compare(first.rank, second.rank);
+    return byRank != 0 ? byRank : Integer.compare(first.index(), second.index());
+  }
+
   private int count(Predicate<UpstreamState> condition) {
     int count = 0;
     for (UpstreamState upstream : members) {
