--- a/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
@@ -21,7 +21,8 @@
   /** Status and body of an answer. */
   public record Reply(int status, String body) {
 
-    JsonObject json() {
+    /** Returns the body as a JSON object. */
+    public JsonObject json() {
       return new JsonObject(body);
     }
   }
