Test that a peer's silent connection is noticed by the dialing side alone

Cause: without the rule on the dialing side the test of silent connections still passed, because the accepting side closes them too. Change: the test of lost answers runs for a caller of the same and of another failure domain. Ruled out: a second proxy that is silent in one direction; the existing one drops answers.

--- a/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
+++ b/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagerack.foundation.data.Bytes;
 import org.lovagerack.membership.CallOutcome.Answered;
 import org.lovagerack.membership.CallOutcome.ConnectionRefused;
@@ -208,11 +210,13 @@
     }
   }
 
-  @Test
-  void callWhoseAnswerIsLostIsUnknown() throws Exception {
+  @ParameterizedTest
+  @ValueSource(strings = {"domain-a", "domain-b"})
+  void callWhoseAnswerIsLostIsUnknown(String failureDomain) throws Exception {
+    PeerNetworkSettings settings = TestNode.settings(failureDomain, 2, TestNode.KEY);
     try (SilentProxy proxy = new SilentProxy();
         TestNode owner = TestNode.startBehind(proxy, loop, 1);
-        TestNode caller = TestNode.startElsewhere(loop, 2)) {
+        TestNode caller = new TestNode(loop, settings, Set.of())) {
       assertThat(caller.await(proxy.address(), 1)).isEqualTo(ANSWER);
       proxy.dropAnswers();
 
