--- a/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
+++ b/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagerack.foundation.data.Bytes;
 import org.lovagerack.membership.CallOutcome.Answered;
 import org.lovagerack.membership.CallOutcome.ConnectionRefused;
@@ -156,8 +158,7 @@
       int connections = proxy.connections();
       proxy.silence();
 
-      assertThat(first.await(second.address, 2)).isInstanceOf(Unknown.class);
-
+      assertThat(outcomeAfterSilence(first, second)).isInstanceOf(Unknown.class);
       loop.until(() -> proxy.connections() > connections);
       loop.until(() -> first.network.connectedAddresses() == 1);
       assertThat(first.await(second.address, 2)).isEqualTo(ANSWER);
@@ -199,14 +200,28 @@
   }
 
   @Test
-  void callWhoseAnswerIsLostIsUnknown() throws Exception {
+  void acceptedConnectionWithoutHeartbeatsIsClosed() throws Exception {
+    try (TestNode node = TestNode.start(loop, 1);
+        RawPeer peer = new RawPeer(node.address).prove(RawPeer.challenge("127.0.0.1:9", 21))) {
+      loop.until(() -> node.view.peer("127.0.0.1:9").isPresent());
+      loop.advance(Duration.ofSeconds(5));
+      peer.awaitClose();
+      assertThat(loop.get(node.network::rejectedConnections)).isZero();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"domain-a", "domain-b"})
+  void callWhoseAnswerIsLostIsUnknown(String failureDomain) throws Exception {
+    PeerNetworkSettings settings = TestNode.settings(failureDomain, 2, TestNode.KEY);
     try (SilentProxy proxy = new SilentProxy();
         TestNode owner = TestNode.startBehind(proxy, loop, 1);
-        TestNode caller = TestNode.startElsewhere(loop, 2)) {
+        TestNode caller = new TestNode(loop, settings, Set.of())) {
       assertThat(caller.await(proxy.address(), 1)).isEqualTo(ANSWER);
       proxy.dropAnswers();
 
-      assertThat(caller.await(proxy.address(), 1)).isInstanceOf(Unknown.class);
+      assertThat(outcomeAfterSilence(caller, owner))
+          .isEqualTo(new Unknown("the connection is silent"));
       assertThat(owner.callsReceived).isEqualTo(2);
     }
   }
@@ -237,6 +252,13 @@
     }
   }
 
+  /** Calls and returns the outcome after 5 s, before the call itself times out. */
+  private CallOutcome outcomeAfterSilence(TestNode caller, TestNode owner) throws Exception {
+    CompletableFuture<CallOutcome> outcome = caller.call(owner.address, owner.incarnation, LONG);
+    loop.advance(Duration.ofSeconds(5));
+    return outcome.getNow(null);
+  }
+
   private long revision(TestNode node, String address) throws Exception {
     return node.view.peer(address).map(peer -> peer.status().revision()).orElse(0L);
   }
