--- a/burn/src/main/java/org/lovagerack/burn/BurnRecorder.java
+++ b/burn/src/main/java/org/lovagerack/burn/BurnRecorder.java
@@ -41,8 +41,8 @@
   /**
    * Counts a job, unless its service has no objective.
    *
-   * @param responseTime time from receipt to answer; used if the job was answered whole, so that
-   *     quick refusals do not make a service look fast
+   * @param responseTime time from receipt to the answer or failure; used if the job was on time or
+   *     late, so that quick refusals do not make a service look fast
    */
   public void record(String service, BurnOutcome outcome, Duration responseTime) {
     ServiceRecord record = services.get(service);
--- a/burn/src/main/java/org/lovagerack/burn/ServiceBurn.java
+++ b/burn/src/main/java/org/lovagerack/burn/ServiceBurn.java
@@ -9,7 +9,7 @@
  *
  * @param objective share of jobs that must be on time, between 0 and 1
  * @param windows counts of jobs; windows without an entry count zero
- * @param responseTimes response times of jobs that were answered whole
+ * @param responseTimes response times of jobs that were on time or late
  */
 public record ServiceBurn(
     double objective, Map<BurnWindow, BurnCounts> windows, ResponseTimes responseTimes) {
