Test the limits on attempts of one task

Change: the generated runs use a service with two attempts a task, and a test counts the attempts of a task that always fails and of one that is never sent.

Ruled out: more generated runs, which seldom fail one task often enough.

--- a/dispatch/src/test/java/org/lovagerack/dispatch/Definitions.java
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/Definitions.java
@@ -22,8 +22,20 @@
   private Definitions() {}
 
   static ServiceDefinition service(double messageWeight) {
+    return service(messageWeight, 2);
+  }
+
+  static ServiceDefinition service(double messageWeight, int maxAttempts) {
     return new ServiceDefinition(
-        SERVICE, "/run", messageWeight, 0.1, 3, 200, Duration.ofSeconds(4), Set.of(NOT_STARTED), 1);
+        SERVICE,
+        "/run",
+        messageWeight,
+        0.1,
+        maxAttempts,
+        200,
+        Duration.ofSeconds(4),
+        Set.of(NOT_STARTED),
+        1);
   }
 
   static UpstreamDefinition upstream(String address, int slots) {
--- a/dispatch/src/test/java/org/lovagerack/dispatch/FailureHandlingTest.java
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/FailureHandlingTest.java
@@ -106,6 +106,31 @@
     assertThat(fixture.openKeys()).containsExactly("waiting");
   }
 
+  // Guards against a task that fails everywhere and is tried without end.
+  @Test
+  void limitsTheAttemptsOfOneTask() {
+    fixture =
+        new DispatcherFixture(
+            Definitions.service(1, 10),
+            Definitions.upstream(FAST, 1),
+            Definitions.upstream(SLOW, 1));
+    assertThat(attempts("failing", new AttemptResult.Lost("reset"))).isEqualTo(3);
+    assertThat(failure("failing").outcome()).isEqualTo(RunOutcome.MAY_HAVE_RUN);
+    assertThat(attempts("unsent", new AttemptResult.NotSent("refused"))).isEqualTo(9);
+    assertThat(failure("unsent").outcome()).isEqualTo(RunOutcome.NOT_RUN);
+  }
+
+  private int attempts(String key, AttemptResult result) {
+    fixture.submit(key, false, true, 60_000);
+    fixture.advance(0);
+    int before = fixture.transport.sent.size() - 1;
+    while (!fixture.outcomes.containsKey(key)) {
+      fixture.transport.open().forEach(sent -> sent.deliver(result));
+      fixture.advance(1000);
+    }
+    return fixture.transport.sent.size() - before;
+  }
+
   private int hedges(double messageWeight) {
     fixture =
         new DispatcherFixture(
