Wait for a faster upstream only by learned run times

Cause: a task whose declared run time was ten times too long could wait for the fastest upstream until its deadline.

Change: the rule needs a learned kind.

Ruled out: nothing.

Measurement: 17 tests pass.

--- a/dispatch/src/main/java/org/lovagerack/dispatch/Scheduler.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/Scheduler.java
@@ -97,10 +97,14 @@
     }
   }
 
-  /** Returns whether a task would miss its deadline on a free upstream but not on the fastest. */
+  /**
+   * Returns whether a task would miss its deadline on a free upstream but not on the fastest. A
+   * declared run time, which may be ten times too long, is no reason to wait.
+   */
   private static boolean shouldAwaitFaster(TaskState task, double onFree, long now) {
     long remaining = task.spec().deadlineNanos() - now;
     return onFree > remaining
+        && task.service().kind(task.spec().kind()).learned()
         && task.work() * task.service().pool().fastestTimePerUnit(now) <= remaining;
   }
 
