Fix the planned stop, answer for earlier incarnations here, take burn work off the event loop

Causes, each found by running the processes: (1) an operator's drain finished but the process stayed; (2) a SIGTERM after a finished drain waited for a callback that had already run; (3) a replacement at the address of a killed owner called itself and answered 'owner-unreachable' where it knows that the owner is lost; (4) burn

Ruled out for (3): the peer protocol, whose verdict on other addresses was right in the same test.

--- a/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
 import java.security.SecureRandom;
@@ -10,9 +11,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.lovagerack.burn.BurnRecorder;
+import org.lovagerack.burn.BurnSnapshot;
+import org.lovagerack.daemon.answer.Answer;
 import org.lovagerack.daemon.http.CallerRoutes;
 import org.lovagerack.daemon.http.HealthRoutes;
 import org.lovagerack.daemon.http.HttpInterface;
@@ -82,7 +86,15 @@
   private final PlannedStop stop;
   private final MetricRegistry metrics = new MetricRegistry();
 
-  EntryVm(Vertx vertx, Context context, Settings settings) {
+  /**
+   * Creates the parts.
+   *
+   * @param vertx the Vert.x instance
+   * @param context the event loop of all parts
+   * @param settings settings
+   * @param exit ends the process as planned, on an operator's call
+   */
+  EntryVm(Vertx vertx, Context context, Settings settings, Runnable exit) {
     this.settings = settings;
     timer = new EventLoopTimer(vertx, context);
     SecureRandom secureRandom = new SecureRandom();
@@ -144,7 +156,13 @@
             random,
             secureRandom,
             view,
-            new PeerCallHandler(jobCalls, jobs, handovers, notes, inForce::local, burn::local),
+            new PeerCallHandler(
+                jobCalls,
+                jobs,
+                handovers,
+                notes,
+                reply -> reply.accept(inForce.local()),
+                reply -> answerBurn(vertx, burn, reply)),
             this::status);
     caller.connect(network);
     view.addListener(new PeerLoadBridge(dispatcher, vmList));
@@ -164,7 +182,7 @@
                     burn,
                     directory,
                     survey,
-                    () -> stop.start(() -> {}))));
+                    exit)));
   }
 
   /** Opens the ports; the future's value is the address for callers. */
@@ -182,7 +200,7 @@
 
   /** Stops as planned; the future completes when the process may exit. */
   Future<Void> stop() {
-    io.vertx.core.Promise<Void> finished = io.vertx.core.Promise.promise();
+    Promise<Void> finished = Promise.promise();
     stop.start(
         () ->
             http.close()
@@ -235,6 +253,12 @@
         PeerNetworkSettings.DEFAULT_LOAD_BYTES_PER_SECOND);
   }
 
+  /** Encoding a snapshot takes tens of milliseconds, too long for the event loop. */
+  private static void answerBurn(Vertx vertx, BurnAnswers burn, Consumer<Answer> reply) {
+    BurnSnapshot snapshot = burn.snapshot();
+    vertx.executeBlocking(() -> BurnAnswers.encode(snapshot)).onSuccess(reply::accept);
+  }
+
   private boolean knowsDeployment() {
     return notes.deployment().isPresent();
   }
--- a/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
@@ -73,7 +73,7 @@
   }
 
   private void start(Vertx vertx, Context context) {
-    EntryVm entryVm = new EntryVm(vertx, context, settings);
+    EntryVm entryVm = new EntryVm(vertx, context, settings, Lovagerackd::exit);
     entryVm
         .start()
         .onSuccess(
@@ -91,6 +91,11 @@
             });
   }
 
+  /** The event loop must stay free for the planned stop, which the exit waits for. */
+  private static void exit() {
+    new Thread(() -> System.exit(0), "exit").start();
+  }
+
   /** The hook blocks the exit of the process until the planned stop is finished. */
   private void stopOnSignal(Context context, EntryVm entryVm) {
     Runtime.getRuntime()
--- a/daemon/src/main/java/org/lovagerack/daemon/PlannedStop.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/PlannedStop.java
@@ -24,6 +24,7 @@
   private final List<Runnable> whenFinished = new ArrayList<>();
   private boolean started;
   private boolean handingOver;
+  private boolean finished;
 
   PlannedStop(
       TimerService timer, Settings.Drain settings, JobService jobs, HandoverSender handover) {
@@ -38,9 +39,13 @@
     return started;
   }
 
-  /** Begins the stop, or joins one that has begun. */
-  void start(Runnable finished) {
-    whenFinished.add(finished);
+  /** Begins the stop, or joins one that has begun; the callback runs once it is finished. */
+  void start(Runnable callback) {
+    if (finished) {
+      callback.run();
+      return;
+    }
+    whenFinished.add(callback);
     if (started) {
       return;
     }
@@ -61,6 +66,7 @@
   }
 
   private void finish(String reason) {
+    finished = true;
     LOG.write(LogEvent.DRAIN_FINISHED, "reason", reason);
     whenFinished.forEach(Runnable::run);
   }
--- a/daemon/src/main/java/org/lovagerack/daemon/job/JobCalls.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/job/JobCalls.java
@@ -92,13 +92,17 @@
       reply.accept(ProblemJson.answer(e.failure()));
       return;
     }
-    if (id.isPresent() && !jobs.owns(id.get())) {
-      submitElsewhere(id.get(), body, wait, reply);
-    } else {
+    if (id.isEmpty() || isDecidedHere(id.get())) {
       submitHere(id, body, wait, reply);
+    } else {
+      owners.submit(id.get(), body, wait, reply);
     }
   }
 
+  private boolean isDecidedHere(SubmissionId id) {
+    return jobs.isIssuedAtThisAddress(id) || jobs.findHandedOver(id).isPresent();
+  }
+
   /**
    * Takes a submission that another entry VM forwarded. It is decided here and never forwarded
    * again.
@@ -148,22 +152,13 @@
       reply.accept(ProblemJson.answer(e.failure()));
       return;
     }
-    if (jobs.owns(id) || jobs.findHandedOver(id).isPresent()) {
+    if (isDecidedHere(id)) {
       here.accept(id);
     } else {
       elsewhere.accept(id);
     }
   }
 
-  private void submitElsewhere(
-      SubmissionId id, Bytes body, Optional<Duration> wait, Consumer<Answer> reply) {
-    if (jobs.findHandedOver(id).isPresent()) {
-      submitHere(Optional.of(id), body, wait, reply);
-    } else {
-      owners.submit(id, body, wait, reply);
-    }
-  }
-
   private void submitHere(
       Optional<SubmissionId> id, Bytes body, Optional<Duration> wait, Consumer<Answer> reply) {
     switch (decide(id, body)) {
--- a/daemon/src/main/java/org/lovagerack/daemon/operator/BurnAnswers.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/BurnAnswers.java
@@ -32,22 +32,29 @@
     this.recorder = recorder;
   }
 
-  /** Returns the snapshot of this entry VM. */
-  public Answer local() {
-    return Answer.json(OK, BurnSnapshotCodec.encode(recorder.snapshot()));
+  /** Returns the present counts; called on the event loop. */
+  public BurnSnapshot snapshot() {
+    return recorder.snapshot();
+  }
+
+  /** Returns a snapshot as an answer; may be called on any thread. */
+  public static Answer encode(BurnSnapshot snapshot) {
+    return Answer.json(OK, BurnSnapshotCodec.encode(snapshot));
   }
 
   /**
    * Returns the merged snapshot of this entry VM and of those that answered, and the addresses of
-   * both kinds. An entry VM whose answer cannot be read is listed as unreachable.
+   * both kinds. An entry VM whose answer cannot be read is listed as unreachable. May be called on
+   * any thread.
    *
+   * @param own counts of this entry VM
    * @param outcomes answers of the others to the same question, by address
    */
-  public Answer merge(Map<String, CallOutcome> outcomes) {
+  public Answer merge(BurnSnapshot own, Map<String, CallOutcome> outcomes) {
     ObjectNode root = MAPPER.createObjectNode();
     ArrayNode reached = root.putArray("reached").add(address);
     ArrayNode unreachable = root.putArray("unreachable");
-    BurnSnapshot merged = recorder.snapshot();
+    BurnSnapshot merged = own;
     for (Map.Entry<String, CallOutcome> outcome : outcomes.entrySet()) {
       Optional<BurnSnapshot> snapshot = read(outcome.getValue());
       merged = snapshot.map(merged::merge).orElse(merged);
--- a/daemon/src/main/java/org/lovagerack/daemon/operator/OperatorRoutes.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/operator/OperatorRoutes.java
@@ -7,7 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletionException;
+import org.lovagerack.burn.BurnSnapshot;
 import org.lovagerack.daemon.answer.Answer;
 import org.lovagerack.daemon.answer.ProblemJson;
 import org.lovagerack.daemon.http.HttpInterface;
@@ -19,6 +21,7 @@
 import org.lovagerack.foundation.error.LovagerackException;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.membership.CallOutcome;
 import org.lovagerack.membership.generated.PeerProtocol.BurnCall;
 import org.lovagerack.membership.generated.PeerProtocol.CallRequest;
 import org.lovagerack.membership.generated.PeerProtocol.InForceCall;
@@ -149,7 +152,17 @@
         directory.all(),
         CallRequest.newBuilder().setBurn(BurnCall.getDefaultInstance()).build(),
         SURVEY_TIMEOUT,
-        outcomes -> HttpInterface.send(context, burn.merge(outcomes)));
+        outcomes -> sendBurn(context, outcomes));
+  }
+
+  /** Merging takes milliseconds per entry VM, too long for the event loop. */
+  private void sendBurn(RoutingContext context, Map<String, CallOutcome> outcomes) {
+    BurnSnapshot own = burn.snapshot();
+    context
+        .vertx()
+        .executeBlocking(() -> burn.merge(own, outcomes))
+        .onSuccess(answer -> HttpInterface.send(context, answer))
+        .onFailure(context::fail);
   }
 
   private void drain(RoutingContext context) {
--- a/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 import org.lovagerack.daemon.answer.Answer;
 import org.lovagerack.daemon.answer.ProblemJson;
 import org.lovagerack.daemon.job.JobCalls;
@@ -24,6 +24,13 @@
 /** Answers the calls of other entry VMs. */
 public final class PeerCallHandler implements PeerMessageHandler {
 
+  /** Gives an answer, at once or later on the event loop. */
+  public interface AnswerSource {
+
+    /** Passes one answer to {@code reply}. */
+    void answer(Consumer<Answer> reply);
+  }
+
   private static final EventLog LOG = new EventLog(PeerCallHandler.class);
   private static final int OK = 200;
 
@@ -31,8 +38,8 @@
   private final JobService jobs;
   private final HandoverCodec handovers;
   private final NoteFollower notes;
-  private final Supplier<Answer> inForce;
-  private final Supplier<Answer> burn;
+  private final AnswerSource inForce;
+  private final AnswerSource burn;
 
   /**
    * Creates a handler.
@@ -49,8 +56,8 @@
       JobService jobs,
       HandoverCodec handovers,
       NoteFollower notes,
-      Supplier<Answer> inForce,
-      Supplier<Answer> burn) {
+      AnswerSource inForce,
+      AnswerSource burn) {
     this.jobCalls = jobCalls;
     this.jobs = jobs;
     this.handovers = handovers;
@@ -76,8 +83,8 @@
                   OK,
                   CatchUpCodec.encode(notes.catchUpAfter(request.getNotes().getAfterRevision()))),
               reply);
-      case IN_FORCE -> send(inForce.get(), reply);
-      case BURN -> send(burn.get(), reply);
+      case IN_FORCE -> inForce.answer(answer -> send(answer, reply));
+      case BURN -> burn.answer(answer -> send(answer, reply));
       case ANSWER_HANDOVER -> {
         handovers.decode(request.getAnswerHandover()).ifPresent(jobs::acceptHandover);
         send(Answer.json(OK, "{}"), reply);
--- a/daemon/src/test/java/org/lovagerack/daemon/operator/BurnAnswersTest.java
+++ b/daemon/src/test/java/org/lovagerack/daemon/operator/BurnAnswersTest.java
@@ -26,7 +26,7 @@
   void everyEntryVmIsEitherMergedOrListedAsUnreachable() throws Exception {
     recorder.objective("swap", 0.5);
     recorder.record("swap", BurnOutcome.LATE, Duration.ZERO);
-    Bytes snapshot = answers.local().body();
+    Bytes snapshot = BurnAnswers.encode(answers.snapshot()).body();
     Map<String, CallOutcome> outcomes =
         new TreeMap<>(
             Map.of(
@@ -35,7 +35,8 @@
                 "vm-4", new CallOutcome.Answered(503, snapshot),
                 "vm-5", new CallOutcome.Unknown("no answer"),
                 "vm-6", new CallOutcome.ConnectionRefused()));
-    JsonNode merged = new ObjectMapper().readTree(answers.merge(outcomes).body().toText());
+    JsonNode merged =
+        new ObjectMapper().readTree(answers.merge(answers.snapshot(), outcomes).body().toText());
     assertThat(merged.get("reached")).extracting(JsonNode::asText).containsExactly("vm-1", "vm-2");
     assertThat(merged.get("unreachable"))
         .extracting(JsonNode::asText)
--- a/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
+++ b/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
@@ -102,6 +102,30 @@
     assertThat(cluster.starts().values()).allMatch(count -> count == 1);
   }
 
+  /** A planned stop must cut no job, keep finished answers readable, and end the process. */
+  @Test
+  void operatorDrainFinishesAcceptedJobsAndEndsTheProcess() throws Exception {
+    Cluster.EntryVm leaver = cluster.entryVms().get(0);
+    Cluster.EntryVm peer = cluster.entryVms().get(1);
+    SubmittedJob waiting = workload.newJob(JobKind.RISER_LAYOUT, leaver);
+    SubmittedJob polled = workload.newJob(JobKind.PARENT_ALERT, leaver);
+    try (ExecutorService caller = Executors.newVirtualThreadPerTaskExecutor()) {
+      Future<?> answer = caller.submit(() -> submitIgnoringLoss(waiting, leaver));
+      submitForStatus(polled, leaver);
+      awaitStarts(waiting);
+      assertThat(cluster.operatorCall(HttpMethod.POST, leaver, "drain", "").status())
+          .isEqualTo(202);
+      answer.get();
+    }
+
+    assertThat(waiting.hasWholeOwnAnswer()).isTrue();
+    assertThat(leaver.process().waitFor()).isZero();
+    SubmittedJob later = polled.resubmission();
+    workload.submit(later, peer);
+    assertThat(later.hasWholeOwnAnswer()).isTrue();
+    assertThat(cluster.starts().values()).allMatch(count -> count == 1);
+  }
+
   /** An outage of the platform must stop neither tasks nor the start of an entry VM. */
   @Test
   void platformOutageStopsPublishingOnly() throws IOException, InterruptedException {
--- a/standins/src/main/java/org/lovagerack/standins/upstream/UpstreamStandIn.java
+++ b/standins/src/main/java/org/lovagerack/standins/upstream/UpstreamStandIn.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -32,6 +33,8 @@
     HANG
   }
 
+  private static final long DEFAULT_WORK_MILLIS = 50;
+
   private final Vertx vertx;
   private final int slots;
   private final double speed;
@@ -134,8 +137,16 @@
     startWaiting();
   }
 
+  private static long declaredWork(String body) {
+    try {
+      return new JsonObject(body).getLong("workMillis", DEFAULT_WORK_MILLIS);
+    } catch (DecodeException | ClassCastException e) {
+      return DEFAULT_WORK_MILLIS;
+    }
+  }
+
   private Duration runTime(String body) {
-    long workMillis = new JsonObject(body).getLong("workMillis", 50L);
+    long workMillis = declaredWork(body);
     return Duration.ofMillis(Math.max(1, Math.round(workMillis / speed)));
   }
 }
--- a/submission/src/main/java/org/lovagerack/submission/JobService.java
+++ b/submission/src/main/java/org/lovagerack/submission/JobService.java
@@ -64,6 +64,14 @@
     return self.owns(id);
   }
 
+  /**
+   * Returns whether an identifier was issued at the address of this process, by it or by an earlier
+   * incarnation. Nobody else can answer for such an identifier.
+   */
+  public boolean isIssuedAtThisAddress(SubmissionId id) {
+    return id.peerAddress().equals(self.peerAddress());
+  }
+
   /**
    * Issues identifiers, in ascending order.
    *
