--- a/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
@@ -203,7 +203,7 @@
     Promise<Void> finished = Promise.promise();
     stop.start(
         () ->
-            http.close()
+            http.shutdown(settings.drain().limit())
                 .compose(ignored -> Future.fromCompletionStage(network.close()))
                 .onComplete(ignored -> finished.complete()));
     return finished.future();
--- a/daemon/src/main/java/org/lovagerack/daemon/http/CallerRoutes.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/http/CallerRoutes.java
@@ -11,7 +11,7 @@
 /** Routes of callers. */
 public final class CallerRoutes implements RouteGroup {
 
-  private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
   private static final Pattern WAIT_SECONDS = Pattern.compile("\\bwait=(\\d{1,6})\\b");
   private static final Pattern WAIT = Pattern.compile("\\bwait\\b");
 
--- a/daemon/src/main/java/org/lovagerack/daemon/http/HealthRoutes.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/http/HealthRoutes.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.lovagerack.daemon.answer.Answer;
@@ -49,7 +50,7 @@
         context,
         Answer.json(
             current == Readiness.READY ? OK : UNAVAILABLE,
-            "{\"state\":\"" + current.name().toLowerCase(java.util.Locale.ROOT) + "\"}"));
+            "{\"state\":\"" + current.name().toLowerCase(Locale.ROOT) + "\"}"));
   }
 
   private void metrics(RoutingContext context) {
--- a/daemon/src/main/java/org/lovagerack/daemon/http/HttpInterface.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/http/HttpInterface.java
@@ -9,6 +9,8 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.lovagerack.daemon.answer.Answer;
 import org.lovagerack.daemon.answer.ProblemJson;
 import org.lovagerack.foundation.data.Bytes;
@@ -70,9 +72,13 @@
         .map(HttpServer::actualPort);
   }
 
-  /** Closes the port. */
-  public Future<Void> close() {
-    return server.close();
+  /**
+   * Closes the port and waits for requests in progress, also those that wait for another entry VM.
+   *
+   * @param limit time after which they are cut off
+   */
+  public Future<Void> shutdown(Duration limit) {
+    return server.shutdown(limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void limitConnections(HttpConnection connection) {
@@ -103,10 +109,7 @@
 
   private static void answerFailure(RoutingContext context) {
     if (context.statusCode() == BODY_TOO_LARGE_STATUS) {
-      send(
-          context,
-          ProblemJson.answer(
-              Failure.notRun(ErrorKind.BODY_TOO_LARGE, "this request started nothing")));
+      send(context, ProblemJson.answer(bodyTooLarge(context)));
     } else if (context.statusCode() == NOT_FOUND_STATUS) {
       send(context, notFound(context));
     } else {
@@ -118,6 +121,14 @@
     }
   }
 
+  /** Only the owner may say "not run" of a submission that has an identifier. */
+  private static Failure bodyTooLarge(RoutingContext context) {
+    String detail = "this request started nothing";
+    return context.request().getHeader(CallerRoutes.IDEMPOTENCY_KEY) == null
+        ? Failure.notRun(ErrorKind.BODY_TOO_LARGE, detail)
+        : Failure.mayHaveRun(ErrorKind.BODY_TOO_LARGE, detail + "; an earlier one may have");
+  }
+
   private static Answer notFound(RoutingContext context) {
     return ProblemJson.answer(
         Failure.mayHaveRun(
--- a/daemon/src/main/java/org/lovagerack/daemon/job/JobJson.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/job/JobJson.java
@@ -1,11 +1,13 @@
 package org.lovagerack.daemon.job;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,9 +31,7 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper()
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .enable(
-              com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION
-                  .mappedFeature());
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION.mappedFeature());
 
   private JobJson() {}
 
@@ -133,7 +133,7 @@
       return node;
     } catch (JsonProcessingException e) {
       throw malformed("the body is not valid JSON: " + e.getOriginalMessage());
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       throw malformed("the body cannot be read: " + e.getMessage());
     }
   }
--- a/daemon/src/main/java/org/lovagerack/daemon/metrics/DispatchMetrics.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/metrics/DispatchMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.lovagerack.dispatch.DispatchObserver;
 import org.lovagerack.dispatch.StartReason;
@@ -31,7 +32,7 @@
   @Override
   public void attemptStarted(String service, String upstream, StartReason reason, Duration queued) {
     registry.timer("dispatch.queued").update(queued.toNanos(), TimeUnit.NANOSECONDS);
-    count("dispatch.started." + reason.name().toLowerCase(java.util.Locale.ROOT));
+    count("dispatch.started." + reason.name().toLowerCase(Locale.ROOT));
     loadChanged.run();
   }
 
--- a/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
@@ -1,5 +1,7 @@
 package org.lovagerack.foundation.error;
 
+import java.util.Locale;
+
 /**
  * The closed list of error kinds, each with its HTTP status, the exit code of the command line, and
  * whether "not run" is guaranteed. {@code docs/errors.md} lists the same table.
@@ -79,6 +81,6 @@
 
   /** Returns the name that answers carry, such as {@code deadline-passed}. */
   public String wireName() {
-    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 }
--- a/scenarios/src/test/java/org/lovagerack/scenarios/BadInputTest.java
+++ b/scenarios/src/test/java/org/lovagerack/scenarios/BadInputTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -126,7 +127,7 @@
     for (String garbage : new String[] {"GET / HTTP/1.1\r\n\r\n", "\u0000\u00ff\u007f", ""}) {
       try (Socket socket = new Socket()) {
         socket.connect(new InetSocketAddress("127.0.0.1", port));
-        socket.getOutputStream().write(garbage.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        socket.getOutputStream().write(garbage.getBytes(StandardCharsets.UTF_8));
       }
     }
 
--- a/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
+++ b/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
@@ -109,15 +109,20 @@
     Cluster.EntryVm peer = cluster.entryVms().get(1);
     SubmittedJob waiting = workload.newJob(JobKind.RISER_LAYOUT, leaver);
     SubmittedJob polled = workload.newJob(JobKind.PARENT_ALERT, leaver);
+    SubmittedJob forwarded = workload.newJob(JobKind.RISER_LAYOUT, peer);
     try (ExecutorService caller = Executors.newVirtualThreadPerTaskExecutor()) {
       Future<?> answer = caller.submit(() -> submitIgnoringLoss(waiting, leaver));
+      Future<?> forwardedAnswer = caller.submit(() -> submitIgnoringLoss(forwarded, leaver));
       submitForStatus(polled, leaver);
       awaitStarts(waiting);
+      awaitStarts(forwarded);
       assertThat(cluster.operatorCall(HttpMethod.POST, leaver, "drain", "").status())
           .isEqualTo(202);
       answer.get();
+      forwardedAnswer.get();
     }
 
+    assertThat(forwarded.hasWholeOwnAnswer()).isTrue();
     assertThat(waiting.hasWholeOwnAnswer()).isTrue();
     assertThat(leaver.process().waitFor()).isZero();
     SubmittedJob later = polled.resubmission();
