--- a/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/EntryVm.java
@@ -119,7 +119,7 @@
             timer,
             new HttpUpstreamTransport(vertx, MAX_CONNECTIONS_PER_UPSTREAM, MAX_ANSWER_BYTES),
             random,
-            DispatchSettings.defaults(),
+            DispatchSettings.defaults().withFailureDomain(settings.failureDomain()),
             new DispatchMetrics(metrics, this::statusChanged));
     BurnRecorder burnRecorder = new BurnRecorder(timer);
     jobBurn = new JobBurn(burnRecorder);
@@ -293,10 +293,9 @@
 
     @Override
     public void deployed(Deployment deployment) {
-      Deployment own = DeploymentFilter.ofFailureDomain(deployment, settings.failureDomain());
-      dispatcher.deploy(own);
+      dispatcher.deploy(deployment);
       jobBurn.deployed(deployment);
-      vmList.retainDeployed(own.upstreams().keySet());
+      vmList.retainDeployed(deployment.upstreams().keySet());
       LOG.write(LogEvent.NOTE_APPLIED, "revision", deployment.revision());
       statusChanged();
     }
--- a/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
+++ b/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
@@ -59,7 +59,7 @@
     SubmittedJob job = workload.newJob(JobKind.RISER_LAYOUT, owner);
     try (ExecutorService caller = Executors.newVirtualThreadPerTaskExecutor()) {
       Future<?> lost = caller.submit(() -> submitIgnoringLoss(job.resubmission(), owner));
-      awaitStarts(job);
+      awaitStarts(job, lost);
       owner.process().destroyForcibly();
       lost.get();
     }
@@ -86,7 +86,7 @@
     SubmittedJob job = workload.newJob(JobKind.RISER_LAYOUT, owner);
     try (ExecutorService caller = Executors.newVirtualThreadPerTaskExecutor()) {
       Future<?> waiting = caller.submit(() -> submitIgnoringLoss(job, owner));
-      awaitStarts(job);
+      awaitStarts(job, waiting);
       signal("STOP", owner);
       SubmittedJob elsewhere = job.resubmission();
       submitForStatus(elsewhere, peer);
@@ -114,8 +114,8 @@
       Future<?> answer = caller.submit(() -> submitIgnoringLoss(waiting, leaver));
       Future<?> forwardedAnswer = caller.submit(() -> submitIgnoringLoss(forwarded, leaver));
       submitForStatus(polled, leaver);
-      awaitStarts(waiting);
-      awaitStarts(forwarded);
+      awaitStarts(waiting, answer);
+      awaitStarts(forwarded, forwardedAnswer);
       assertThat(cluster.operatorCall(HttpMethod.POST, leaver, "drain", "").status())
           .isEqualTo(202);
       answer.get();
@@ -217,8 +217,11 @@
     job.finish(reply, 0);
   }
 
-  private void awaitStarts(SubmittedJob job) throws IOException, InterruptedException {
+  /** Waits until a task of the job was started; fails if the job was answered without. */
+  private void awaitStarts(SubmittedJob job, Future<?> answer)
+      throws IOException, InterruptedException {
     while (cluster.starts().keySet().stream().noneMatch(task -> task.startsWith(job.id()))) {
+      assertThat(answer.isDone()).as("answered without a start: %s", job.problemKind()).isFalse();
       Thread.sleep(10);
     }
   }
