Add the policy benchmark: fakes, workload shapes, baselines, report

The dispatch policy is to be judged in the same run and on the same arrivals as random, round robin, least in flight and two random choices.

--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/BindingDispatcher.java
@@ -0,0 +1,109 @@
+package org.lovagerack.benchmarks;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.lovagerack.dispatch.AttemptRequest;
+import org.lovagerack.dispatch.AttemptResult;
+import org.lovagerack.dispatch.JobShape;
+import org.lovagerack.dispatch.TaskHandle;
+import org.lovagerack.dispatch.TaskListener;
+import org.lovagerack.dispatch.TaskSpec;
+import org.lovagerack.dispatch.UpstreamTransport;
+import org.lovagerack.foundation.error.Failure;
+import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.notes.Deployment;
+
+/**
+ * Baseline: binds each task to an upstream on arrival, admits everything and keeps no queue of its
+ * own. Retries only what cannot run twice by that.
+ */
+final class BindingDispatcher implements EntryPolicy {
+
+  private static final int MAX_ATTEMPTS = 3;
+
+  private final TimerService timer;
+  private final UpstreamTransport transport;
+  private final UpstreamSelector selector;
+  private final Map<String, Integer> inFlight = new HashMap<>();
+  private final TreeSet<String> leaving = new TreeSet<>();
+  private List<String> candidates = List.of();
+  private Deployment deployment = Deployment.empty();
+
+  BindingDispatcher(TimerService timer, UpstreamTransport transport, UpstreamSelector selector) {
+    this.timer = timer;
+    this.transport = transport;
+    this.selector = selector;
+  }
+
+  @Override
+  public void deploy(Deployment inForce) {
+    deployment = inForce;
+    updateCandidates();
+  }
+
+  @Override
+  public void upstreamLeaving(String upstream) {
+    leaving.add(upstream);
+    updateCandidates();
+  }
+
+  @Override
+  public void peerLoads(String peer, Map<String, Integer> inFlightByUpstream) {}
+
+  @Override
+  public Optional<Map<String, Integer>> inFlightByUpstream() {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<Failure> admit(JobShape job) {
+    return Optional.empty();
+  }
+
+  @Override
+  public TaskHandle submit(TaskSpec spec, TaskListener listener) {
+    BoundTask task = new BoundTask(this, timer, spec, listener);
+    task.start();
+    return task;
+  }
+
+  /** Starts the next attempt of a task on an upstream that the selector chooses. */
+  void startAttempt(BoundTask task) {
+    TaskSpec spec = task.spec();
+    String upstream = selector.select(candidates, inFlight);
+    inFlight.merge(upstream, 1, Integer::sum);
+    AttemptRequest request =
+        new AttemptRequest(
+            upstream,
+            deployment.services().get(spec.service()).path(),
+            spec.key(),
+            task.nextAttempt(),
+            task.remaining(),
+            spec.body(),
+            false);
+    task.bound(upstream, transport.start(request, result -> finish(task, upstream, result)));
+  }
+
+  /** Takes back the count of an attempt that was given up. */
+  void givenUp(String upstream) {
+    inFlight.merge(upstream, -1, Integer::sum);
+  }
+
+  boolean attemptsLeft(BoundTask task) {
+    return task.attempts() < MAX_ATTEMPTS;
+  }
+
+  private void finish(BoundTask task, String upstream, AttemptResult result) {
+    givenUp(upstream);
+    task.onResult(result);
+  }
+
+  private void updateCandidates() {
+    candidates = new ArrayList<>(new TreeSet<>(deployment.upstreams().keySet()));
+    candidates.removeAll(leaving);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/PolicyBenchmark.java
@@ -0,0 +1,38 @@
+package org.lovagerack.benchmarks;
+
+import java.io.PrintStream;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+
+/** Compares dispatch policies in simulated time; see {@code docs/BENCHMARKS.md}. */
+public final class PolicyBenchmark {
+
+  private PolicyBenchmark() {}
+
+  /** Runs the comparison; exits with 2 if the arguments are not valid. */
+  public static void main(String[] arguments) throws Exception {
+    ArgumentParser parser = BenchmarkOptions.parser();
+    BenchmarkOptions options;
+    try {
+      options = BenchmarkOptions.parse(parser, arguments);
+    } catch (ArgumentParserException invalid) {
+      parser.handleError(invalid);
+      System.exit(2);
+      return;
+    }
+    run(options, System.out);
+  }
+
+  private static void run(BenchmarkOptions options, PrintStream out) throws Exception {
+    Comparison comparison = new Comparison(options);
+    List<ReportRow> rows = ReportRow.of(comparison.run());
+    List<ReportRow> sweep = ReportRow.of(comparison.sweep());
+    List<Miss> misses = Miss.find(rows);
+    if (options.json()) {
+      JsonReport.print(options, rows, sweep, misses, out);
+    } else {
+      TextReport.print(options, rows, sweep, misses, out);
+    }
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/PolicyFactory.java
@@ -0,0 +1,51 @@
+package org.lovagerack.benchmarks;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.lovagerack.dispatch.UpstreamTransport;
+import org.lovagerack.foundation.timer.TimerService;
+
+/**
+ * A dispatch policy by name.
+ *
+ * @param name name in reports
+ * @param baseline whether other policies are compared with it
+ * @param constructor creates the dispatcher of one entry VM
+ */
+record PolicyFactory(String name, boolean baseline, Constructor constructor) {
+
+  /** Creates the dispatcher of one entry VM. */
+  @FunctionalInterface
+  interface Constructor {
+    EntryPolicy create(TimerService timer, UpstreamTransport transport, RandomGenerator random);
+  }
+
+  /** Returns every policy of the comparison. */
+  static List<PolicyFactory> all() {
+    List<PolicyFactory> all = new ArrayList<>(baselines());
+    all.addAll(own());
+    return all;
+  }
+
+  /** Returns the policies under test. */
+  static List<PolicyFactory> own() {
+    return List.of();
+  }
+
+  static List<PolicyFactory> baselines() {
+    return List.of(
+        baseline("random", UpstreamSelector.RandomChoice::new),
+        baseline("round-robin", UpstreamSelector.RoundRobin::new),
+        baseline("least-in-flight", UpstreamSelector.LeastInFlight::new),
+        baseline("two-choices", UpstreamSelector.TwoChoices::new));
+  }
+
+  private static PolicyFactory baseline(String name, UpstreamSelector.Factory selectors) {
+    return new PolicyFactory(
+        name,
+        true,
+        (timer, transport, random) ->
+            new BindingDispatcher(timer, transport, selectors.create(random)));
+  }
+}
