--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/PolicyFactory.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/PolicyFactory.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.lovagerack.dispatch.DispatchObserver;
+import org.lovagerack.dispatch.DispatchSettings;
+import org.lovagerack.dispatch.Dispatcher;
 import org.lovagerack.dispatch.UpstreamTransport;
 import org.lovagerack.foundation.timer.TimerService;
 
@@ -30,7 +33,18 @@
 
   /** Returns the policies under test. */
   static List<PolicyFactory> own() {
-    return List.of();
+    return List.of(
+        new PolicyFactory(
+            "lovagerack",
+            false,
+            (timer, transport, random) ->
+                new LateBindingPolicy(
+                    new Dispatcher(
+                        timer,
+                        transport,
+                        random,
+                        DispatchSettings.defaults(),
+                        DispatchObserver.none()))));
   }
 
   static List<PolicyFactory> baselines() {
