--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/BenchmarkOptions.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/BenchmarkOptions.java
@@ -14,7 +14,7 @@
  * @param horizon simulated time in which jobs arrive
  * @param scenario part of the names of the scenarios to run; empty for all
  * @param json whether to print JSON instead of tables
- * @param traces number of worst jobs per row to print with their starts
+ * @param traces number of jobs around the 99th percentile to print for each row
  */
 record BenchmarkOptions(long seed, Duration horizon, String scenario, boolean json, int traces) {
 
@@ -54,7 +54,7 @@
         .addArgument("--traces")
         .type(Integer.class)
         .setDefault(0)
-        .help("print the starts of this many worst jobs for each row of the own policy");
+        .help("print this many jobs around the 99th percentile for each row of the own policy");
     return parser;
   }
 }
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/Cell.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/Cell.java
@@ -10,7 +10,7 @@
  * @param policy the policy
  * @param messageWeight weight of the service
  * @param result what it showed
- * @param traces descriptions of the worst jobs
+ * @param traces descriptions of jobs around the 99th percentile
  */
 record Cell(
     Workload workload,
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/Comparison.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/Comparison.java
@@ -71,7 +71,7 @@
     List<String> traces =
         policy.baseline()
             ? List.of()
-            : JobTrace.worst(workload, simulation.jobs(), options.traces());
+            : JobTrace.aroundP99(workload, simulation.jobs(), options.traces());
     return new Cell(workload, scenario, policy, messageWeight, result, traces);
   }
 
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/JobTrace.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/JobTrace.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
-/** Describes the jobs that took longest relative to the ideal, with every start of their tasks. */
+/** Describes the jobs around the 99th percentile, with every start of their tasks. */
 final class JobTrace {
 
   /** Tasks of a job that are printed, those that ended last. */
@@ -13,14 +13,18 @@
 
   private JobTrace() {}
 
-  static List<String> worst(Workload workload, List<JobRun> jobs, int count) {
+  static List<String> aroundP99(Workload workload, List<JobRun> jobs, int count) {
     List<String> traces = new ArrayList<>();
     for (KindProfile kind : workload.kinds()) {
-      jobs.stream()
-          .filter(run -> run.job().kind().equals(kind) && run.finished())
-          .filter(run -> run.job().sentNanos() >= Simulation.WARM_UP.toNanos())
-          .filter(run -> !run.refused() && !run.cancelled() && !run.job().impossible())
-          .sorted(Comparator.comparingDouble(run -> -ratio(run, workload)))
+      List<JobRun> slowestFirst =
+          jobs.stream()
+              .filter(run -> run.job().kind().equals(kind) && run.finished())
+              .filter(run -> run.job().sentNanos() >= Simulation.WARM_UP.toNanos())
+              .filter(run -> !run.refused() && !run.cancelled() && !run.job().impossible())
+              .sorted(Comparator.comparingDouble(run -> -ratio(run, workload)))
+              .toList();
+      slowestFirst.stream()
+          .skip(Math.max(0, slowestFirst.size() / 100 - count / 2))
           .limit(count)
           .forEach(run -> traces.add(describe(run, workload)));
     }
