--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/BenchmarkOptions.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/BenchmarkOptions.java
@@ -15,8 +15,10 @@
  * @param scenario part of the names of the scenarios to run; empty for all
  * @param json whether to print JSON instead of tables
  * @param traces number of jobs around the 99th percentile to print for each row
+ * @param previous file with the JSON report of an earlier run to compare with; empty for none
  */
-record BenchmarkOptions(long seed, Duration horizon, String scenario, boolean json, int traces) {
+record BenchmarkOptions(
+    long seed, Duration horizon, String scenario, boolean json, int traces, String previous) {
 
   static BenchmarkOptions parse(ArgumentParser parser, String[] arguments)
       throws ArgumentParserException {
@@ -31,7 +33,8 @@
         Duration.ofSeconds(seconds),
         parsed.getString("scenario"),
         parsed.getBoolean("json"),
-        parsed.getInt("traces"));
+        parsed.getInt("traces"),
+        parsed.getString("previous"));
   }
 
   static ArgumentParser parser() {
@@ -55,6 +58,10 @@
         .type(Integer.class)
         .setDefault(0)
         .help("print this many jobs around the 99th percentile for each row of the own policy");
+    parser
+        .addArgument("--previous")
+        .setDefault("")
+        .help("compare with the own policy of an earlier run, from its --json report");
     return parser;
   }
 }
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/PolicyBenchmark.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/PolicyBenchmark.java
@@ -1,6 +1,7 @@
 package org.lovagerack.benchmarks;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.List;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -26,7 +27,11 @@
 
   private static void run(BenchmarkOptions options, PrintStream out) throws Exception {
     Comparison comparison = new Comparison(options);
-    List<ReportRow> rows = ReportRow.of(comparison.run());
+    List<ReportRow> previous =
+        options.previous().isEmpty()
+            ? List.of()
+            : PreviousRun.read(Path.of(options.previous()), options);
+    List<ReportRow> rows = ReportRow.merge(ReportRow.of(comparison.run()), previous);
     List<ReportRow> sweep = ReportRow.of(comparison.sweep());
     List<Miss> misses = Miss.find(rows);
     if (options.json()) {
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/ReportRow.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/ReportRow.java
@@ -41,6 +41,49 @@
     return rows;
   }
 
+  /** Adds the rows of other policies on arrivals that are among the given rows. */
+  static List<ReportRow> merge(List<ReportRow> rows, List<ReportRow> others) {
+    List<ReportRow> merged = new ArrayList<>(rows);
+    for (ReportRow other : others) {
+      if (rows.stream().anyMatch(other::sameArrivals)) {
+        merged.add(other);
+      }
+    }
+    return merged;
+  }
+
+  /** Returns these figures as those of a baseline of another name. */
+  ReportRow asBaseline(String name) {
+    return new ReportRow(
+        user,
+        scenario,
+        kind,
+        name,
+        true,
+        overload,
+        faultless,
+        load,
+        messageWeight,
+        jobs,
+        p50,
+        p99,
+        p999,
+        p99WithoutStragglers,
+        smallestRatio,
+        late,
+        failed,
+        refused,
+        goodput,
+        wastedPerTask,
+        controlPerTask,
+        impossible,
+        impossibleAccepted,
+        repeatedStarts,
+        startsSaidNotRun,
+        startsWhileLeaving,
+        List.of());
+  }
+
   /** Returns whether both are figures of the same arrivals. */
   boolean sameArrivals(ReportRow other) {
     return user.equals(other.user) && scenario.equals(other.scenario) && kind.equals(other.kind);
