Order admitted jobs by a multiple of their ideal response time instead of the deadline

Cause: ordered by deadline, a job with a long deadline waits behind every later job with a short one. At 200 % load it is started in the gaps, given up half done at its deadline, and its work is lost.

Change: an admitted job is due at 8 times its ideal response time, or 3 times while jobs are being refused, and at its deadline at the latest; the queue and the admission use that time. Tasks that were not admitted as a job keep the order by deadline.

--- a/dispatch/src/main/java/org/lovagerack/dispatch/AdmissionControl.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AdmissionControl.java
@@ -80,22 +80,23 @@
     int freeSlots = service.pool().shareSlots() - service.releases().size();
     boolean waits = service.queue().size() + job.taskCount() > freeSlots;
     double work = estimate.longestWork + (job.taskCount() - 1) * estimate.typicalWork;
-    double before = service.queue().workBefore(job.urgent(), job.deadlineNanos());
+    long due = service.dueNanos(job.deadlineNanos(), estimate.longestWork, work, alarms.now());
+    double before = service.queue().workBefore(job.urgent(), due);
     double wait = waits ? (before + work - estimate.longestWork) / capacity : 0;
     double meanTimePerUnit = service.pool().shareSlots() / capacity;
     double longestRun = estimate.longestWork * meanTimePerUnit;
     double finish = wait + slowRun(service, longestRun, (double) remaining);
     boolean tooLate = waits && !(finish <= remaining * (1 - settings.admissionHeadroom()));
     if (tooLate
-        || service
-            .queue()
-            .wouldMissLater(job.urgent(), job.deadlineNanos(), work, capacity, alarms.now())) {
+        || service.queue().wouldMissLater(job.urgent(), due, work, capacity, alarms.now())) {
+      service.refusedOnLoad(alarms.now());
       return refuse(
               ErrorKind.OVERLOADED,
               "the job would finish in about %s, %s are left"
                   .formatted(millis(finish), millis((double) remaining)))
           .map(failure -> failure.retryAfter(drainTime(service)));
     }
+    service.admitted(job, due);
     return Optional.empty();
   }
 
--- a/dispatch/src/main/java/org/lovagerack/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/Dispatcher.java
@@ -89,7 +89,8 @@
       return () -> {};
     }
     double work = service.kind(spec.kind()).meanWork(spec.declaredRunTime());
-    TaskState task = new TaskState(spec, listener, service, nextOrder++, work);
+    TaskState task =
+        new TaskState(spec, listener, service, nextOrder++, work, service.dueNanos(spec));
     turn.run(() -> lifecycle.accept(task));
     return () -> turn.run(() -> lifecycle.cancel(task));
   }
--- a/dispatch/src/main/java/org/lovagerack/dispatch/TaskQueue.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/TaskQueue.java
@@ -5,8 +5,8 @@
 import java.util.TreeSet;
 
 /**
- * Tasks of one service that wait for a slot: urgent ones first, then by deadline, and among equal
- * deadlines (the tasks of a job) the longest first.
+ * Tasks of one service that wait for a slot: urgent ones first, then by the time they are due, and
+ * among those due at the same time (the tasks of a job) the longest first.
  */
 final class TaskQueue {
 
@@ -17,7 +17,7 @@
   void add(TaskState task, long nowNanos) {
     task.enterQueue(nowNanos);
     tasks.add(task);
-    profile(task.spec().urgent()).add(task.spec().deadlineNanos(), task.work());
+    profile(task.spec().urgent()).add(task.dueNanos(), task.spec().deadlineNanos(), task.work());
   }
 
   /** Removes a task; does nothing if it is not queued. */
@@ -27,7 +27,7 @@
     }
     tasks.remove(task);
     task.leaveQueue();
-    profile(task.spec().urgent()).remove(task.spec().deadlineNanos(), task.work());
+    profile(task.spec().urgent()).remove(task.dueNanos(), task.work());
   }
 
   int size() {
@@ -55,16 +55,16 @@
   }
 
   /** Returns the queued work that goes before a new task. */
-  double workBefore(boolean urgentTask, long deadlineNanos) {
-    double sameClass = profile(urgentTask).dueBy(deadlineNanos);
+  double workBefore(boolean urgentTask, long dueNanos) {
+    double sameClass = profile(urgentTask).dueBy(dueNanos);
     return urgentTask ? sameClass : sameClass + urgent.total();
   }
 
   /** Returns whether new work would make a queued task of its class miss its deadline. */
   boolean wouldMissLater(
-      boolean urgentTask, long deadlineNanos, double work, double capacity, long nowNanos) {
+      boolean urgentTask, long dueNanos, double work, double capacity, long nowNanos) {
     double before = urgentTask ? 0 : urgent.total();
-    return profile(urgentTask).wouldMissLater(deadlineNanos, work, before, capacity, nowNanos);
+    return profile(urgentTask).wouldMissLater(dueNanos, work, before, capacity, nowNanos);
   }
 
   private static int compare(TaskState first, TaskState second) {
@@ -73,9 +73,9 @@
     if (one.urgent() != other.urgent()) {
       return one.urgent() ? -1 : 1;
     }
-    int byDeadline = Long.compare(one.deadlineNanos(), other.deadlineNanos());
-    if (byDeadline != 0) {
-      return byDeadline;
+    int byDueTime = Long.compare(first.dueNanos(), second.dueNanos());
+    if (byDueTime != 0) {
+      return byDueTime;
     }
     int longestFirst = other.declaredRunTime().compareTo(one.declaredRunTime());
     return longestFirst != 0 ? longestFirst : Long.compare(first.order(), second.order());
--- a/dispatch/src/main/java/org/lovagerack/dispatch/TaskState.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/TaskState.java
@@ -12,6 +12,7 @@
   private final TaskListener listener;
   private final ServiceState service;
   private final long order;
+  private final long dueNanos;
   private final List<AttemptState> inFlight = new ArrayList<>(1);
   private double work;
   private boolean queued;
@@ -26,12 +27,24 @@
   private AlarmQueue.Alarm deadlineAlarm;
   private AlarmQueue.Alarm delayAlarm;
 
-  TaskState(TaskSpec spec, TaskListener listener, ServiceState service, long order, double work) {
+  TaskState(
+      TaskSpec spec,
+      TaskListener listener,
+      ServiceState service,
+      long order,
+      double work,
+      long dueNanos) {
     this.spec = spec;
     this.listener = listener;
     this.service = service;
     this.order = order;
     this.work = work;
+    this.dueNanos = dueNanos;
+  }
+
+  /** Returns the time by which the task should be answered; orders the queue. */
+  long dueNanos() {
+    return dueNanos;
   }
 
   TaskSpec spec() {
