--- a/dispatch/src/main/java/org/lovagerack/dispatch/AttemptChecks.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AttemptChecks.java
@@ -116,7 +116,11 @@
       return Long.MAX_VALUE;
     }
     long quantile =
-        attempt.startedNanos() + (long) (attempt.expectedNanos() * service.slowness().ratio());
+        attempt.startedNanos()
+            + (long)
+                (attempt.expectedNanos()
+                    * service.slowness().ratio()
+                    * Double.parseDouble(System.getProperty("HF", "1")));
     return Math.max(quantile, attempt.hedgePostponedNanos());
   }
 }
