--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/CapacityBenchmark.java
@@ -0,0 +1,55 @@
+package org.lovagerack.benchmarks.capacity;
+
+import java.io.PrintStream;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+
+/** Measures slopes and prints them as Markdown tables. */
+public final class CapacityBenchmark {
+
+  private static final int USAGE_EXIT_CODE = 2;
+
+  private final CapacitySizes sizes;
+  private final PrintStream output;
+
+  CapacityBenchmark(CapacitySizes sizes, PrintStream output) {
+    this.sizes = sizes;
+    this.output = output;
+  }
+
+  /** Runs the benchmark. */
+  public static void main(String[] arguments) throws Exception {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("measure-capacity")
+            .build()
+            .description("Measures processor time, memory, bytes and calls as the system grows.");
+    parser
+        .addArgument("--tiny")
+        .action(Arguments.storeTrue())
+        .help("use tiny sizes, which only show that every part runs");
+    try {
+      boolean tiny = parser.parseArgs(arguments).getBoolean("tiny");
+      // The events of the simulated entry VMs are not of interest.
+      Configurator.setRootLevel(Level.OFF);
+      new CapacityBenchmark(tiny ? CapacitySizes.tiny() : CapacitySizes.full(), System.out).run();
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      System.exit(USAGE_EXIT_CODE);
+    }
+  }
+
+  void run() throws Exception {
+    output.println(Measurement.header());
+    print(new StartMeasurements(sizes).run());
+  }
+
+  private void print(List<Measurement> measurements) {
+    measurements.forEach(measurement -> output.println(measurement.row()));
+    output.flush();
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Heap.java
@@ -0,0 +1,15 @@
+package org.lovagerack.benchmarks.capacity;
+
+/** Heap in use after garbage collection. */
+final class Heap {
+
+  private Heap() {}
+
+  /** Returns the bytes that are reachable; the second collection clears what the first enqueued. */
+  static long usedBytes() {
+    System.gc();
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
