Measure memory, notes, followers, returning entry VMs and peer traffic

Cause: docs/CAPACITY.md needs a measured slope for every line. Ruled out: heap figures with the default dead ratio of the serial collector, which leaves up to 5 % of the heap and gave 0 bytes for 5,000 jobs; a bare sleep per step of peer traffic, because a busy machine then makes peers suspect. Code from test directories of other modules (platform, relay) is not reachable from here, so that its like stands here again.

--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/CapacityBenchmark.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/CapacityBenchmark.java
@@ -46,6 +46,11 @@
   void run() throws Exception {
     output.println(Measurement.header());
     print(new StartMeasurements(sizes).run());
+    print(new MemoryMeasurements(sizes).run());
+    print(new NoteMeasurements(sizes).run());
+    print(new FollowerMeasurements(sizes).run());
+    print(new ReturnMeasurements(sizes).run());
+    print(new PeerMeasurements(sizes).run());
   }
 
   private void print(List<Measurement> measurements) {
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/EntryModel.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/EntryModel.java
@@ -46,11 +46,7 @@
     transport = new TrivialTransport(timer, meanRunTime);
     dispatcher =
         new Dispatcher(
-            timer,
-            transport,
-            new Random(1),
-            DispatchSettings.defaults(),
-            DispatchObserver.none());
+            timer, transport, new Random(1), DispatchSettings.defaults(), DispatchObserver.none());
     dispatcher.deploy(deployment);
     jobs =
         new JobService(
@@ -68,12 +64,7 @@
       List<SubmissionId> ids = jobs.issue(1);
       JobRequest request =
           new JobRequest(
-              Samples.SERVICE,
-              "kind",
-              team,
-              true,
-              timeLimit,
-              Collections.nCopies(taskCount, TASK));
+              Samples.SERVICE, "kind", team, true, timeLimit, Collections.nCopies(taskCount, TASK));
       SubmitResult result = jobs.submit(Optional.of(ids.getFirst()), request, DIGEST);
       if (!(result instanceof SubmitResult.Accepted)) {
         throw new IllegalStateException("a job was not accepted: " + result);
--- /dev/null
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/FollowerMeasurements.java
@@ -0,0 +1,90 @@
+package org.lovagerack.benchmarks.capacity;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import org.lovagerack.notes.Deployment;
+import org.lovagerack.notes.DeploymentCodec;
+
+/** Platform calls, pushes and delays of release notes as entry VMs grow. */
+final class FollowerMeasurements {
+
+  /** 30,000 notes a day. */
+  private static final double NOTES_PER_SECOND = 30_000 / 86_400.0;
+
+  private static final int FIRST_REVISION = 64;
+  private static final Duration SETTLE = Duration.ofSeconds(10);
+
+  private final CapacitySizes sizes;
+  private final Measurement reads =
+      new Measurement("platform reads per second, notes at 30,000 a day", "1/s", "entry VMs");
+  private final Measurement idleReads =
+      new Measurement("platform reads per second without notes", "1/s", "entry VMs");
+  private final Measurement writes =
+      new Measurement("platform writes per note", "writes", "entry VMs");
+  private final Measurement pushes = new Measurement("pushes per note", "messages", "entry VMs");
+  private final Measurement longest =
+      new Measurement("longest time from publish to in force on all", "ms", "entry VMs");
+  private final Measurement longestWithoutPush =
+      new Measurement("the same if every push is lost", "ms", "entry VMs");
+
+  FollowerMeasurements(CapacitySizes sizes) {
+    this.sizes = sizes;
+  }
+
+  List<Measurement> run() {
+    for (int followers : sizes.followers()) {
+      measure(followers);
+      longestWithoutPush.add(followers, longestMillis(group(followers, false)));
+    }
+    return List.of(reads, idleReads, writes, pushes, longest, longestWithoutPush);
+  }
+
+  private void measure(int followers) {
+    FollowerGroup group = group(followers, true);
+    long readsBefore = group.platform.tableReads();
+    Duration idle = Duration.ofSeconds(60);
+    group.timer.advance(idle);
+    idleReads.add(
+        followers, (group.platform.tableReads() - readsBefore) / (double) idle.toSeconds());
+    readsBefore = group.platform.tableReads();
+    long writesBefore = group.platform.writes();
+    long startNanos = group.timer.nanoTime();
+    double worst = longestMillis(group);
+    double seconds = (group.timer.nanoTime() - startNanos - SETTLE.toNanos()) / 1e9;
+    // The polls of the settling time after the last note are taken off.
+    double settleReads = idleReads.points().getLast().y() * SETTLE.toSeconds();
+    reads.add(followers, (group.platform.tableReads() - readsBefore - settleReads) / seconds);
+    writes.add(followers, (group.platform.writes() - writesBefore) / (double) sizes.notes());
+    pushes.add(followers, group.pushes() / (double) sizes.notes());
+    longest.add(followers, worst);
+  }
+
+  /** Publishes notes at exponentially drawn intervals; returns the longest time until in force. */
+  private double longestMillis(FollowerGroup group) {
+    Random random = new Random(1);
+    for (int note = 0; note < sizes.notes(); note++) {
+      group.publish(Samples.change(FIRST_REVISION + note, note));
+      // Not before the publisher has the note in force, on which the next note is based.
+      double seconds = 0.1 + random.nextExponential() * (1 / NOTES_PER_SECOND - 0.1);
+      group.timer.advance(Duration.ofNanos((long) (seconds * 1e9)));
+    }
+    group.timer.advance(SETTLE);
+    double worst = 0;
+    for (int note = 1; note <= sizes.notes(); note++) {
+      worst = Math.max(worst, group.timeToAll(FIRST_REVISION + note).toNanos() / 1e6);
+    }
+    return worst;
+  }
+
+  private static FollowerGroup group(int followers, boolean push) {
+    FollowerGroup group = new FollowerGroup(push);
+    Deployment deployment = Samples.deployment(FIRST_REVISION, 100, 0);
+    group.platform.install(FIRST_REVISION, DeploymentCodec.encode(deployment));
+    for (int follower = 0; follower < followers; follower++) {
+      group.start(follower / FollowerGroup.DOMAIN_SIZE);
+    }
+    group.timer.advance(SETTLE);
+    return group;
+  }
+}
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Heap.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Heap.java
@@ -1,6 +1,9 @@
 package org.lovagerack.benchmarks.capacity;
 
-/** Heap in use after garbage collection. */
+/**
+ * Heap in use after garbage collection. Needs {@code -XX:MarkSweepDeadRatio=0}: without it, serial
+ * collection leaves up to 5 % of the heap uncollected.
+ */
 final class Heap {
 
   private Heap() {}
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Measurement.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Measurement.java
@@ -28,6 +28,10 @@
     points.add(new LinearFit.Point(x, y));
   }
 
+  void add(double x, long y) {
+    add(x, (double) y);
+  }
+
   List<LinearFit.Point> points() {
     return List.copyOf(points);
   }
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Samples.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/Samples.java
@@ -33,8 +33,7 @@
 
   /** Returns a deployment whose upstreams are all in one failure domain. */
   static Deployment ofOneDomain(int upstreams, int slots, int teams) {
-    return new Deployment(
-        1, Map.of(SERVICE, service()), upstreams(upstreams, slots), teams(teams));
+    return new Deployment(1, Map.of(SERVICE, service()), upstreams(upstreams, slots), teams(teams));
   }
 
   /** Returns a note that changes one upstream. */
@@ -50,7 +49,13 @@
   }
 
   static String address(int number) {
-    return "10." + (number >> 16 & 255) + "." + (number >> 8 & 255) + "." + (number & 255) + ":8080";
+    return "10."
+        + (number >> 16 & 255)
+        + "."
+        + (number >> 8 & 255)
+        + "."
+        + (number & 255)
+        + ":8080";
   }
 
   static String team(int number) {
--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/StartMeasurements.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/StartMeasurements.java
@@ -24,8 +24,8 @@
   List<Measurement> run() {
     Measurement perJob =
         new Measurement("processor time of a job, decision code", "µs", "tasks in the job");
-    // The first run compiles the code.
-    microsPerJob(sizes.largestDomain(), JOB_SIZE);
+    // The first runs compile the code.
+    sizes.jobSizes().forEach(tasks -> microsPerJob(sizes.largestDomain(), tasks));
     for (int tasks : sizes.jobSizes()) {
       perJob.add(tasks, microsPerJob(sizes.largestDomain(), tasks));
     }
