--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/NoteMeasurements.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/capacity/NoteMeasurements.java
@@ -29,6 +29,8 @@
   private final Measurement deploy =
       new Measurement(
           "processor time of the dispatcher to deploy what is left", "µs", "entries in 33 domains");
+  private final Measurement noteBytes =
+      new Measurement("note that changes one upstream, JSON", "B", "entries");
   private final Measurement snapshotBytes =
       new Measurement("snapshot of the deployment", "B", "entries");
   private final Measurement snapshotTime =
@@ -47,7 +49,8 @@
     for (int entries : sizes.definitions()) {
       measure(entries, true);
     }
-    return List.of(apply, filter, deploy, snapshotBytes, snapshotTime, listBytes, listTime);
+    return List.of(
+        apply, filter, deploy, noteBytes, snapshotBytes, snapshotTime, listBytes, listTime);
   }
 
   private void measure(int entries, boolean record)
@@ -75,6 +78,7 @@
       apply.add(entries, applyNanos / 1e3 / notes);
       filter.add(entries, filterNanos / 1e3 / deployments);
       deploy.add(entries, deployNanos / 1e3 / deployments);
+      noteBytes.add(entries, NoteCodec.encode(Samples.change(0, entries - 1)).length());
       snapshotBytes.add(entries, snapshot.length());
       snapshotTime.add(entries, snapshotNanos / 1e3);
       listBytes.add(entries, list.length());
