Take the equal share over the whole pool in admission

Ruled out: dropping the share again, which refuses every job while peers hold all slots. RoutingTest passes.

--- a/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamPool.java
@@ -18,10 +18,12 @@
   private final TreeSet<UpstreamState> free = new TreeSet<>(UpstreamPool::compareRanks);
   private final TreeSet<UpstreamState> belowShare = new TreeSet<>(UpstreamPool::compareRanks);
   private final Set<UpstreamState> probeDue = new LinkedHashSet<>();
-  private double capacity;
+  private double usableCapacity;
+  private double equalCapacity;
   private double fastest;
   private long fastestNanos = Long.MIN_VALUE;
-  private int shareSlots;
+  private int usableSlots;
+  private double equalSlots;
 
   void add(UpstreamState upstream) {
     members.add(upstream);
@@ -91,14 +93,20 @@
     return probeDue.isEmpty() ? null : probeDue.iterator().next();
   }
 
-  /** Returns the units of work that the slots of this entry VM finish in one unit of time. */
+  /**
+   * Returns the units of work that the slots of this entry VM finish in one unit of time. Slots
+   * that peers hold count up to the equal share of all slots, because this entry VM gets those
+   * after a short wait; otherwise it would refuse every job while its peers hold all slots. The
+   * share is taken over the whole pool: taken for each upstream it would count the same slot at two
+   * entry VMs.
+   */
   double capacity() {
-    return capacity;
+    return Math.max(usableCapacity, equalCapacity);
   }
 
   /** Returns the slots that this entry VM may use now or after a short wait. */
   int shareSlots() {
-    return shareSlots;
+    return Math.max(usableSlots, (int) equalSlots);
   }
 
   boolean anyPresent() {
@@ -151,9 +159,13 @@
 
   /** Sums the capacity again, which removes accumulated rounding errors. */
   void recalculateCapacity() {
-    capacity = 0;
+    usableCapacity = 0;
+    equalCapacity = 0;
+    equalSlots = 0;
     for (UpstreamState upstream : members) {
-      capacity += upstream.capacity;
+      usableCapacity += upstream.capacity;
+      equalCapacity += upstream.equalCapacity;
+      equalSlots += upstream.equalSlots;
     }
   }
 
@@ -187,17 +199,19 @@
     }
   }
 
-  /**
-   * Slots that peers hold count up to this entry VM's equal share, because it gets those after a
-   * short wait. Without them, admission would refuse every job while a peer holds all slots.
-   */
   private void updateCapacity(UpstreamState upstream, boolean usable) {
-    int slots = usable ? Math.max(upstream.usableSlots(), (int) upstream.equalShare()) : 0;
-    double share = usable ? Math.max(slots, upstream.equalShare()) : 0;
-    double newCapacity = share / upstream.speed().timePerUnit();
-    capacity += newCapacity - upstream.capacity;
-    shareSlots += slots - upstream.shareSlots;
+    double timePerUnit = upstream.speed().timePerUnit();
+    int slots = usable ? Math.max(0, upstream.usableSlots()) : 0;
+    double equalShare = usable ? upstream.equalShare() : 0;
+    double newCapacity = slots / timePerUnit;
+    double newEqualCapacity = equalShare / timePerUnit;
+    usableCapacity += newCapacity - upstream.capacity;
+    equalCapacity += newEqualCapacity - upstream.equalCapacity;
+    usableSlots += slots - upstream.shareSlots;
+    equalSlots += equalShare - upstream.equalSlots;
     upstream.capacity = newCapacity;
+    upstream.equalCapacity = newEqualCapacity;
     upstream.shareSlots = slots;
+    upstream.equalSlots = equalShare;
   }
 }
--- a/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamState.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/UpstreamState.java
@@ -29,6 +29,8 @@
   boolean ranked;
   boolean guaranteed;
   double capacity;
+  double equalCapacity;
+  double equalSlots;
   int shareSlots;
 
   /**
