Hold new tasks from an upstream that closes every connection

Change: three answers in a row that close their connections, from an upstream that used to keep them, eject it with the usual back-off; a probe whose connection stays open readmits it, and after three probes that are answered and closed the upstream is taken for one that no longer keeps connections. Ruled out: ejecting on the first closed connection (servers limit requests for each connection), and on servers that never keep connections.

--- a/dispatch/src/main/java/org/lovagerack/dispatch/AttemptRunner.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/AttemptRunner.java
@@ -98,7 +98,7 @@
     if (answered.status() >= 200 && answered.status() < 300) {
       learn(attempt, Math.max(1, runTime));
       attempt.upstream().setSuspect(false);
-      ejection.succeeded(attempt);
+      ejection.succeeded(attempt, answered.closing());
       lifecycle.succeed(task, answered.body());
       return;
     }
--- a/dispatch/src/main/java/org/lovagerack/dispatch/EjectionPolicy.java
+++ b/dispatch/src/main/java/org/lovagerack/dispatch/EjectionPolicy.java
@@ -21,11 +21,27 @@
     this.observer = observer;
   }
 
-  void succeeded(AttemptState attempt) {
+  /**
+   * Notes a successful answer.
+   *
+   * @param closing whether the upstream announced that it closes the connection; one that closes
+   *     all connections is stopping and is ejected before it refuses tasks
+   */
+  void succeeded(AttemptState attempt, boolean closing) {
+    ServiceState service = attempt.task().service();
     UpstreamState upstream = attempt.upstream();
-    upstream.health().succeeded();
-    if (isCurrentProbe(attempt)) {
-      readmit(attempt.task().service(), upstream);
+    UpstreamHealth health = upstream.health();
+    health.succeeded();
+    health.answered(closing);
+    boolean probe = isCurrentProbe(attempt);
+    if (probe && closing) {
+      health.probeClosed();
+    }
+    if (health.announcesStop() && (probe || (health.accepting() && mayEjectAnother(service)))) {
+      eject(service, upstream);
+      observer.upstreamLeaving(upstream.address());
+    } else if (probe) {
+      readmit(service, upstream);
     }
   }
 
--- a/dispatch/src/test/java/org/lovagerack/dispatch/DispatcherFixture.java
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/DispatcherFixture.java
@@ -94,6 +94,11 @@
     events.add("ejected for " + period.toSeconds() + " s");
   }
 
+  @Override
+  public void upstreamLeaving(String upstream) {
+    events.add("leaving");
+  }
+
   @Override
   public void upstreamReadmitted(String service, String upstream) {
     events.add("readmitted");
--- a/dispatch/src/test/java/org/lovagerack/dispatch/FailureHandlingTest.java
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/FailureHandlingTest.java
@@ -32,6 +32,50 @@
     assertThat(fixture.events).endsWith("PROBE", "readmitted");
   }
 
+  // Guards against new tasks for an upstream that stops gracefully and has told nobody else.
+  @Test
+  void holdsTasksFromAnUpstreamThatClosesEveryConnection() {
+    fixture.learnSpeeds();
+    closeOnFast(3);
+    assertThat(fixture.events).endsWith("ejected for 1 s", "leaving");
+
+    fixture.submit("other", false, false, 10_000);
+    fixture.advance(0);
+    assertThat(fixture.open("other").request.upstream()).isEqualTo(SLOW);
+    fixture.open("other").succeed();
+    fixture.advance(1_000);
+    fixture.submit("probe", false, true, 10_000);
+    fixture.advance(0);
+    fixture.open("probe").succeed();
+    assertThat(fixture.events).endsWith("PROBE", "readmitted");
+  }
+
+  // Guards against ejecting an upstream for good because its server was told not to keep
+  // connections.
+  @Test
+  void readmitsAnUpstreamThatClosesConnectionsButGoesOnAnswering() {
+    fixture.learnSpeeds();
+    closeOnFast(3);
+    for (int backOffMillis = 1_000; backOffMillis <= 4_000; backOffMillis *= 2) {
+      fixture.advance(backOffMillis);
+      closeOnFast(1);
+    }
+    assertThat(fixture.events).endsWith("PROBE", "readmitted");
+
+    closeOnFast(5);
+    assertThat(fixture.events).endsWith("PROBE", "readmitted");
+  }
+
+  private void closeOnFast(int count) {
+    for (int i = 0; i < count; i++) {
+      fixture.submit("closing" + fixture.outcomes.size(), false, true, 10_000);
+      fixture.advance(0);
+      assertThat(fixture.transport.open().getFirst().request.upstream()).isEqualTo(FAST);
+      fixture.advance(100);
+      fixture.transport.open().getFirst().succeedAndClose();
+    }
+  }
+
   // Guards against ejecting sound upstreams when the tasks are bad.
   @Test
   void ejectsAtMostHalfOfTheUpstreams() {
--- a/dispatch/src/test/java/org/lovagerack/dispatch/RecordingTransport.java
+++ b/dispatch/src/test/java/org/lovagerack/dispatch/RecordingTransport.java
@@ -74,6 +74,10 @@
       answer(200);
     }
 
+    void succeedAndClose() {
+      deliver(new AttemptResult.Answered(200, Bytes.ofText(request.taskKey()), true));
+    }
+
     void answer(int status) {
       deliver(new AttemptResult.Answered(status, Bytes.ofText(request.taskKey()), false));
     }
