Replace every entry VM under load in a test; say the exit codes of a planned stop

Cause: rolling replacement was listed as not proved, and the help text promised exit code 0 after SIGTERM, where the JVM exits with 143.

--- a/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
@@ -43,7 +43,9 @@
         ArgumentParsers.newFor("lovagerackd")
             .build()
             .description("Entry daemon of lovagerack; SIGTERM stops it as planned.")
-            .epilog("Exit codes: 0 stopped as planned, 1 error, 2 wrong arguments or settings.");
+            .epilog(
+                "Exit codes: 0 drained by an operator, 1 error, 2 wrong arguments or settings,"
+                    + " 143 stopped as planned by SIGTERM.");
     parser.addArgument("settings").help("settings file, JSON");
     parser
         .addArgument("--check")
--- a/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
+++ b/scenarios/src/test/java/org/lovagerack/scenarios/ProcessFaultTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -27,6 +28,9 @@
 /** Guards the rules under faults of real processes: kill, freeze, platform outage, silence. */
 final class ProcessFaultTest {
 
+  /** 128 plus the number of the signal, as the JVM exits after its shutdown hooks have run. */
+  private static final int SIGTERM_EXIT_CODE = 143;
+
   @TempDir Path folder;
 
   private final Vertx vertx = Vertx.vertx();
@@ -131,6 +135,22 @@
     assertThat(cluster.starts().values()).allMatch(count -> count == 1);
   }
 
+  /** Replacing all entry VMs one after another under load must cut no accepted job. */
+  @Test
+  void replacingEveryEntryVmCutsNoJob() throws IOException, InterruptedException {
+    for (Cluster.EntryVm entryVm : cluster.entryVms()) {
+      List<SubmittedJob> jobs =
+          workload.run(
+              Map.of(JobKind.SECTION_SWAP, 6, JobKind.RISER_LAYOUT, 2, JobKind.PARENT_ALERT, 3),
+              () -> entryVm.process().destroy());
+      assertThat(jobs).allMatch(job -> job.hasWholeOwnAnswer() || job.saysNotRun(), entryVm.name());
+      assertThat(entryVm.process().waitFor()).isEqualTo(SIGTERM_EXIT_CODE);
+      cluster.replace(entryVm);
+      cluster.awaitInForce(1);
+    }
+    assertThat(cluster.starts().values()).allMatch(count -> count == 1);
+  }
+
   /** An outage of the platform must stop neither tasks nor the start of an entry VM. */
   @Test
   void platformOutageStopsPublishingOnly() throws IOException, InterruptedException {
