--- a/notes/src/main/java/org/lovagerack/notes/NoteFollower.java
+++ b/notes/src/main/java/org/lovagerack/notes/NoteFollower.java
@@ -229,7 +229,12 @@
 
   private void onPlatformFailure(Throwable failure) {
     if (failures == 0) {
-      log.write(LogEvent.PLATFORM_UNAVAILABLE, failure, "applied", ledger.revision());
+      log.write(
+          LogEvent.PLATFORM_UNAVAILABLE,
+          "applied",
+          ledger.revision(),
+          "detail",
+          String.valueOf(failure.getMessage()));
     }
     failures++;
     LimitedCall.await(
