Answer a forwarded call with a failure when its answer is over the frame limit

Cause: read-through; CallReply.answer throws for an answer that no frame can carry, and the caller would have waited until its time-out. Before: the exception left the event loop's handler. After: PeerCallHandlerTest passes.

--- a/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/peer/PeerCallHandler.java
@@ -118,7 +118,20 @@
         answer -> send(answer, reply));
   }
 
+  /** An answer that no frame can carry is replaced by a failure, so that the caller is told. */
   private static void send(Answer answer, CallReply reply) {
-    reply.answer(answer.status(), answer.body());
+    try {
+      reply.answer(answer.status(), answer.body());
+    } catch (IllegalArgumentException e) {
+      LOG.write(LogEvent.UNEXPECTED_ERROR, e, "call", "answer to a peer");
+      Answer failure =
+          ProblemJson.answer(
+              Failure.mayHaveRun(
+                  ErrorKind.INTERNAL,
+                  "the answer of "
+                      + answer.body().length()
+                      + " bytes is over the frame limit between entry VMs"));
+      reply.answer(failure.status(), failure.body());
+    }
   }
 }
