--- a/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
+++ b/membership/src/test/java/org/lovagerack/membership/PeerNetworkTest.java
@@ -118,6 +118,8 @@
       String address = earlier.address;
       loop.until(() -> watcher.sees(earlier) && watcher.network.connectedAddresses() == 1);
       earlier.close();
+      // A call that is sent before the close is seen is rightly unknown.
+      loop.until(() -> watcher.network.connectedAddresses() == 0);
       assertThat(watcher.await(address, 2)).isEqualTo(new ConnectionRefused());
 
       PeerNetworkSettings settings = TestNode.at(address, Optional.empty(), 3);
