--- a/daemon/src/main/java/org/lovagerack/daemon/timer/EventLoopTimer.java
+++ b/eventloop/src/main/java/org/lovagerack/eventloop/EventLoopTimer.java
@@ -1,4 +1,4 @@
-package org.lovagerack.daemon.timer;
+package org.lovagerack.eventloop;
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's configuration in force. */
+package org.lovagerack.fleet.configuration;
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -0,0 +1,227 @@
+package org.lovagerack.fleet.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.shard.ShardLease;
+import org.lovagerack.fleet.shard.ShardRows;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.RowStore;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.store.TableFollower;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.timer.TimerService;
+
+/** Passes each call to the owner of the job's shard, which may be this process. */
+public final class JobRouter implements JobService {
+
+  /** Takeovers last about this long. */
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  /** Longest wait of one call that follows the owners; bounds how long a silent one is trusted. */
+  private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
+
+  private final List<ShardSeat> seats;
+  private final StoredJobs storedJobs;
+  private final TableFollower owners;
+
+  /**
+   * Creates a router that does nothing until {@link #start}.
+   *
+   * @param leases leases of all shards, in order of their numbers
+   */
+  public JobRouter(
+      TimerService timer,
+      RandomGenerator random,
+      RowStore store,
+      PeerCalls peers,
+      List<ShardLease> leases) {
+    this.seats =
+        IntStream.range(0, leases.size())
+            .mapToObj(shard -> new ShardSeat(timer, random, peers, leases.get(shard), shard))
+            .toList();
+    this.storedJobs = new StoredJobs(store);
+    this.owners =
+        new TableFollower(
+            timer,
+            store,
+            ShardRows.OWNER_TABLE,
+            ShardRows.partitions(leases.size()),
+            FOLLOW_WAIT,
+            new OwnerListener());
+  }
+
+  /** Starts to follow the owners, and to take shards that have none. */
+  public void start() {
+    owners.start();
+    seats.forEach(ShardSeat::start);
+  }
+
+  /** Gives all shards up. */
+  public void retire(Runnable callback) {
+    int[] left = {seats.size()};
+    for (ShardSeat seat : seats) {
+      seat.retire(
+          () -> {
+            left[0]--;
+            if (left[0] == 0) {
+              callback.run();
+            }
+          });
+    }
+  }
+
+  /** Returns whether every shard has an owner that calls can be passed to. */
+  public boolean ready() {
+    return seats.stream().allMatch(ShardSeat::reachable);
+  }
+
+  /** Returns the number of shards that this process owns. */
+  public long ownedShards() {
+    return seats.stream().filter(ShardSeat::owned).count();
+  }
+
+  /** Returns the service for a shard that this process owns; empty if it does not own it. */
+  public Optional<JobService> ownJobs(String jobId) {
+    ShardSeat seat = seat(jobId);
+    return seat.owned() ? seat.jobs() : Optional.empty();
+  }
+
+  /** Returns the services of the shards that this process owns. */
+  public List<JobService> ownShards() {
+    return seats.stream().filter(ShardSeat::owned).flatMap(seat -> seat.jobs().stream()).toList();
+  }
+
+  @Override
+  public void submit(
+      String jobId, Queue queue, JobSpec spec, Duration patience, Consumer<JobAnswer> callback) {
+    pass(jobId, (jobs, answer) -> jobs.submit(jobId, queue, spec, patience, answer), callback);
+  }
+
+  @Override
+  public void state(String jobId, Consumer<JobAnswer> callback) {
+    pass(
+        jobId,
+        (jobs, answer) -> jobs.state(jobId, answer),
+        answer -> {
+          switch (answer) {
+            case JobAnswer.Refused refused ->
+                storedJobs.state(ShardRows.of(shard(jobId)), jobId, callback);
+            case JobAnswer.Unresolved unresolved ->
+                storedJobs.state(ShardRows.of(shard(jobId)), jobId, callback);
+            default -> callback.accept(answer);
+          }
+        });
+  }
+
+  @Override
+  public void cancel(String jobId, Consumer<JobAnswer> callback) {
+    pass(jobId, (jobs, answer) -> jobs.cancel(jobId, answer), callback);
+  }
+
+  @Override
+  public void pending(String queueName, Consumer<JobAnswer> callback) {
+    PendingSum sum = new PendingSum(seats.size(), callback);
+    for (ShardSeat seat : seats) {
+      Optional<JobService> jobs = seat.jobs();
+      if (jobs.isPresent()) {
+        jobs.get().pending(queueName, sum::add);
+      } else {
+        sum.add(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      }
+    }
+  }
+
+  private void pass(
+      String jobId,
+      BiConsumer<JobService, Consumer<JobAnswer>> call,
+      Consumer<JobAnswer> callback) {
+    ShardSeat seat = seat(jobId);
+    Optional<JobService> jobs = seat.jobs();
+    if (jobs.isEmpty()) {
+      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      return;
+    }
+    call.accept(
+        jobs.get(),
+        answer -> {
+          if (ownerFailed(answer)) {
+            seat.suspectOwner();
+          }
+          callback.accept(answer);
+        });
+  }
+
+  private static boolean ownerFailed(JobAnswer answer) {
+    return switch (answer) {
+      case JobAnswer.Refused refused -> refused.kind() == ErrorKind.OWNER_UNREACHABLE;
+      case JobAnswer.Unresolved unresolved -> unresolved.kind() == ErrorKind.OWNER_UNREACHABLE;
+      default -> false;
+    };
+  }
+
+  private ShardSeat seat(String jobId) {
+    return seats.get(shard(jobId));
+  }
+
+  private int shard(String jobId) {
+    return Math.floorMod(jobId.hashCode(), seats.size());
+  }
+
+  private final class OwnerListener implements TableFollower.Listener {
+
+    @Override
+    public void changed(StoredRow row) {
+      for (int shard = 0; shard < seats.size(); shard++) {
+        if (row.key().partition().equals(ShardRows.of(shard).partition())) {
+          seats.get(shard).ownerStored(row);
+        }
+      }
+    }
+
+    @Override
+    public void removed(RowKey key) {
+      // Nothing removes an owner's row; the lease decides in any case.
+    }
+
+    @Override
+    public void loaded() {
+      seats.forEach(ShardSeat::ownersLoaded);
+    }
+  }
+
+  private static final class PendingSum {
+    private final Consumer<JobAnswer> callback;
+    private int outstanding;
+    private long sum;
+
+    PendingSum(int outstanding, Consumer<JobAnswer> callback) {
+      this.outstanding = outstanding;
+      this.callback = callback;
+    }
+
+    void add(JobAnswer answer) {
+      if (outstanding == 0) {
+        return;
+      }
+      if (answer instanceof JobAnswer.Pending pending) {
+        sum += pending.jobs();
+        outstanding--;
+        if (outstanding == 0) {
+          callback.accept(new JobAnswer.Pending(sum));
+        }
+      } else {
+        outstanding = 0;
+        callback.accept(answer);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -0,0 +1,232 @@
+package org.lovagerack.fleet.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.shard.LeaseRecord;
+import org.lovagerack.fleet.shard.OwnedShard;
+import org.lovagerack.fleet.shard.ShardLease;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.foundation.timer.TimerService;
+
+/**
+ * One shard as this VM sees it: who owns it, whether that owner is alive, and when this VM is to
+ * take it. A shard is taken when it is vacant, when the owner's process is gone, or when the owner
+ * is silent and has not renewed its lease for as long as the lease lasts.
+ */
+final class ShardSeat {
+
+  /** Period of the probes of the owner; a third of the lease. */
+  private static final Duration PROBE_PERIOD = Duration.ofMillis(600);
+
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+
+  /** Spreads the attempts of several VMs to take one shard. */
+  private static final Duration LONGEST_JITTER = Duration.ofMillis(60);
+
+  private static final Duration RETRY = Duration.ofMillis(250);
+
+  private static final EventLog LOG = new EventLog(ShardSeat.class);
+
+  private final TimerService timer;
+  private final RandomGenerator random;
+  private final PeerCalls peers;
+  private final ShardLease lease;
+  private final int shard;
+  private LeaseRecord owner;
+  private OwnedShard owned;
+  private boolean loaded;
+  private boolean taking;
+  private boolean probing;
+  private boolean retired;
+
+  ShardSeat(
+      TimerService timer, RandomGenerator random, PeerCalls peers, ShardLease lease, int shard) {
+    this.timer = timer;
+    this.random = random;
+    this.peers = peers;
+    this.lease = lease;
+    this.shard = shard;
+  }
+
+  void start() {
+    timer.every(PROBE_PERIOD, this::checkOwner);
+  }
+
+  /** Takes what the store says about the owner. */
+  void ownerStored(StoredRow row) {
+    LeaseRecord stored;
+    try {
+      stored = LeaseRecord.decode(row.value());
+    } catch (MalformedRecordException e) {
+      LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
+      return;
+    }
+    if (owner != null && stored.token() < owner.token()) {
+      return;
+    }
+    owner = stored;
+    LOG.write(
+        LogEvent.SHARD_OWNER,
+        "shard",
+        shard,
+        "token",
+        stored.token(),
+        "owner",
+        stored.ownerAddress(),
+        "version",
+        row.version());
+    if (owned != null && !lease.isOwn(stored) && stored.token() >= owned.token()) {
+      dropOwned();
+    }
+    if (stored.vacant()) {
+      take();
+    }
+  }
+
+  /** The rows of all owners have been read. */
+  void ownersLoaded() {
+    loaded = true;
+    if (owner == null) {
+      take();
+    }
+  }
+
+  /** Returns the job service of the shard: the own one, or that of the owner. */
+  Optional<JobService> jobs() {
+    if (owned != null) {
+      return Optional.of(owned.jobs());
+    }
+    if (owner == null || owner.vacant() || lease.isOwn(owner)) {
+      return Optional.empty();
+    }
+    return Optional.of(peers.jobsAt(owner.ownerAddress(), owner.ownerIncarnation()));
+  }
+
+  boolean owned() {
+    return owned != null;
+  }
+
+  /** Returns whether calls for the shard have somewhere to go. */
+  boolean reachable() {
+    return owned != null ? owned.ready() : owner != null && !owner.vacant();
+  }
+
+  /** A call to the owner failed. */
+  void suspectOwner() {
+    checkOwner();
+  }
+
+  /** Gives the shard up and takes it no more. */
+  void retire(Runnable callback) {
+    retired = true;
+    if (owned == null) {
+      callback.run();
+      return;
+    }
+    OwnedShard leaving = owned;
+    leaving.release(
+        () -> {
+          dropOwned();
+          callback.run();
+        });
+  }
+
+  private void checkOwner() {
+    if (owned != null || !loaded || probing || taking || retired) {
+      return;
+    }
+    if (owner == null || owner.vacant()) {
+      take();
+      return;
+    }
+    if (lease.isOwn(owner)) {
+      // This process gave the shard up without being able to say so, or lost it unseen.
+      takeIfUnrenewed();
+      return;
+    }
+    probing = true;
+    LeaseRecord probed = owner;
+    peers.probe(
+        probed.ownerAddress(),
+        probed.ownerIncarnation(),
+        PROBE_TIMEOUT,
+        liveness -> {
+          probing = false;
+          if (owned != null || !probed.equals(owner) || retired) {
+            return;
+          }
+          switch (liveness) {
+            case ALIVE -> {}
+            case GONE -> {
+              LOG.write(LogEvent.OWNER_GONE, "shard", shard, "owner", probed.ownerAddress());
+              take();
+            }
+            case SILENT -> {
+              LOG.write(LogEvent.OWNER_SILENT, "shard", shard, "owner", probed.ownerAddress());
+              takeIfUnrenewed();
+            }
+          }
+        });
+  }
+
+  private void takeIfUnrenewed() {
+    if (taking) {
+      return;
+    }
+    taking = true;
+    lease.takeIfUnrenewed(this::takeEnded);
+  }
+
+  private void take() {
+    if (taking || owned != null || retired) {
+      return;
+    }
+    taking = true;
+    Duration jitter = Duration.ofNanos(random.nextLong(LONGEST_JITTER.toNanos()));
+    timer.after(
+        jitter,
+        () -> {
+          if (retired || owned != null) {
+            taking = false;
+          } else {
+            lease.take(Optional.ofNullable(owner), this::takeEnded);
+          }
+        });
+  }
+
+  private void takeEnded(ShardLease.Result result) {
+    taking = false;
+    switch (result) {
+      case ShardLease.Taken taken -> {
+        if (retired) {
+          taken.shard().release(() -> {});
+          return;
+        }
+        owned = taken.shard();
+        owned.start(this::dropOwned);
+        LOG.write(LogEvent.SHARD_TAKEN, "shard", shard, "token", owned.token());
+      }
+      case ShardLease.HeldByOther other -> {
+        if (owner == null || other.record().token() > owner.token()) {
+          owner = other.record();
+        }
+      }
+      case ShardLease.Undecided undecided -> {
+        LOG.write(LogEvent.SHARD_NOT_TAKEN, "shard", shard, "reason", undecided.reason());
+        timer.after(RETRY, this::checkOwner);
+      }
+    }
+  }
+
+  private void dropOwned() {
+    if (owned != null) {
+      owned.close();
+      owned = null;
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/StoredJobs.java
@@ -0,0 +1,75 @@
+package org.lovagerack.fleet.entry;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.lovagerack.fleet.job.EndedJob;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.shard.ShardRows;
+import org.lovagerack.fleet.store.ReadOutcome;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.RowStore;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+
+/** Reads the state of a job from the store while its owner does not answer. */
+final class StoredJobs {
+
+  private static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final EventLog LOG = new EventLog(StoredJobs.class);
+
+  private final RowStore store;
+
+  StoredJobs(RowStore store) {
+    this.store = store;
+  }
+
+  /** Answers the state of a job; a job that has not ended counts as running. */
+  void state(ShardRows rows, String jobId, Consumer<JobAnswer> callback) {
+    // A job's row is replaced by the row of its end in one transaction, so this order misses none.
+    read(
+        rows.job(jobId),
+        callback,
+        jobRow -> callback.accept(new JobAnswer.State(JobState.RUNNING)),
+        () ->
+            read(
+                rows.ended(jobId),
+                callback,
+                endedRow -> callback.accept(ended(endedRow)),
+                () -> callback.accept(new JobAnswer.UnknownJob())));
+  }
+
+  private void read(
+      RowKey key, Consumer<JobAnswer> callback, Consumer<StoredRow> found, Runnable absent) {
+    store.read(
+        key.table(),
+        key.partition(),
+        key.key(),
+        1,
+        TIMEOUT,
+        outcome -> {
+          if (!(outcome instanceof ReadOutcome.Rows page)) {
+            callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE));
+            return;
+          }
+          page.rows().stream()
+              .filter(row -> row.key().equals(key))
+              .findFirst()
+              .ifPresentOrElse(found, absent);
+        });
+  }
+
+  private static JobAnswer ended(StoredRow row) {
+    try {
+      EndedJob record = JobCodec.decodeEnded(row.value());
+      return new JobAnswer.State(record.state());
+    } catch (MalformedRecordException e) {
+      LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
+      return new JobAnswer.Unresolved(ErrorKind.INTERNAL);
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
@@ -0,0 +1,205 @@
+package org.lovagerack.fleet.job;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.foundation.data.Bytes;
+
+/** The JSON form in which jobs are stored and forwarded between entry VMs. */
+public final class JobCodec {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private JobCodec() {}
+
+  /** Encodes a job. */
+  public static Bytes encode(SubmittedJob job) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("id", job.id());
+    node.put("acceptedByToken", job.acceptedByToken());
+    node.set("queue", queueNode(job.queue()));
+    node.put("specification", job.spec().specification());
+    node.put("bestEffort", job.spec().bestEffort());
+    ArrayNode steps = node.putArray("steps");
+    job.spec().steps().forEach(step -> steps.add(stepNode(step)));
+    return bytes(node);
+  }
+
+  /**
+   * Decodes a job.
+   *
+   * @throws MalformedRecordException if a field is missing or out of range
+   */
+  public static SubmittedJob decodeJob(Bytes encoded) throws MalformedRecordException {
+    JsonNode node = parse(encoded);
+    List<StepSpec> steps = new ArrayList<>();
+    try {
+      for (JsonNode step : field(node, "steps")) {
+        steps.add(step(step));
+      }
+      return new SubmittedJob(
+          field(node, "id").asText(),
+          queue(field(node, "queue")),
+          field(node, "acceptedByToken").asLong(),
+          new JobSpec(
+              field(node, "specification").asText(), steps, field(node, "bestEffort").asBoolean()));
+    } catch (IllegalArgumentException e) {
+      throw new MalformedRecordException("stored job: " + e.getMessage(), e);
+    }
+  }
+
+  /** Encodes progress. */
+  public static Bytes encode(JobProgress progress) {
+    ObjectNode node = MAPPER.createObjectNode();
+    ArrayNode done = node.putArray("done");
+    progress.doneTasks().forEach(done::add);
+    ObjectNode failed = node.putObject("failedRuns");
+    progress
+        .failedRuns()
+        .forEach(
+            (task, runs) -> {
+              ArrayNode numbers = failed.putArray(Integer.toString(task));
+              runs.forEach(numbers::add);
+            });
+    return bytes(node);
+  }
+
+  /**
+   * Decodes progress.
+   *
+   * @throws MalformedRecordException if a field is missing or out of range
+   */
+  public static JobProgress decodeProgress(Bytes encoded) throws MalformedRecordException {
+    JsonNode node = parse(encoded);
+    List<Integer> done = integers(field(node, "done"));
+    Map<Integer, List<Integer>> failedRuns = new TreeMap<>();
+    for (Map.Entry<String, JsonNode> entry : field(node, "failedRuns").properties()) {
+      try {
+        failedRuns.put(Integer.valueOf(entry.getKey()), integers(entry.getValue()));
+      } catch (NumberFormatException e) {
+        throw new MalformedRecordException("progress of task " + entry.getKey(), e);
+      }
+    }
+    return new JobProgress(done, failedRuns);
+  }
+
+  /** Encodes an ended job. */
+  public static Bytes encode(EndedJob job) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("state", job.state().name().toLowerCase(Locale.ROOT));
+    node.put("endedAtMillis", job.endedAtMillis());
+    return bytes(node);
+  }
+
+  /**
+   * Decodes an ended job.
+   *
+   * @throws MalformedRecordException if a field is missing or the state is not a final one
+   */
+  public static EndedJob decodeEnded(Bytes encoded) throws MalformedRecordException {
+    JsonNode node = parse(encoded);
+    String name = field(node, "state").asText();
+    for (JobState state : JobState.values()) {
+      if (state.ended() && state.name().toLowerCase(Locale.ROOT).equals(name)) {
+        return new EndedJob(state, field(node, "endedAtMillis").asLong());
+      }
+    }
+    throw new MalformedRecordException("final state " + name);
+  }
+
+  private static ObjectNode queueNode(Queue queue) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("name", queue.name());
+    node.put("host", queue.host());
+    node.put("prefix", queue.prefix());
+    node.put("service", queue.service());
+    node.put("priority", queue.priority());
+    node.put("attempts", queue.attempts());
+    node.put("stretch", queue.stretch());
+    node.put("targetMillis", queue.targetLatency().toMillis());
+    return node;
+  }
+
+  private static Queue queue(JsonNode node) throws MalformedRecordException {
+    return new Queue(
+        field(node, "name").asText(),
+        field(node, "host").asText(),
+        field(node, "prefix").asText(),
+        field(node, "service").asText(),
+        field(node, "priority").asInt(),
+        field(node, "attempts").asInt(),
+        field(node, "stretch").asDouble(),
+        Duration.ofMillis(field(node, "targetMillis").asLong()));
+  }
+
+  private static ObjectNode stepNode(StepSpec step) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("tasks", step.taskCount());
+    node.put("cpuMillicores", step.request().cpuMillicores());
+    node.put("memoryMegabytes", step.request().memoryMegabytes());
+    node.put("accelerators", step.request().accelerators());
+    node.put("estimatedMillis", step.estimatedDuration().toMillis());
+    if (!step.after().isEmpty()) {
+      ArrayNode after = node.putArray("after");
+      step.after().forEach(after::add);
+    }
+    node.put("requiredLabel", step.requiredLabel());
+    node.put("dataRack", step.dataRack());
+    node.put("maxPerWorker", step.maxPerWorker());
+    return node;
+  }
+
+  private static StepSpec step(JsonNode node) throws MalformedRecordException {
+    return new StepSpec(
+        field(node, "tasks").asInt(),
+        new Resources(
+            field(node, "cpuMillicores").asLong(),
+            field(node, "memoryMegabytes").asLong(),
+            field(node, "accelerators").asLong()),
+        Duration.ofMillis(field(node, "estimatedMillis").asLong()),
+        node.has("after") ? integers(node.get("after")) : List.of(),
+        field(node, "requiredLabel").asText(),
+        field(node, "dataRack").asText(),
+        field(node, "maxPerWorker").asInt());
+  }
+
+  private static List<Integer> integers(JsonNode array) {
+    List<Integer> values = new ArrayList<>();
+    array.forEach(value -> values.add(value.asInt()));
+    return values;
+  }
+
+  private static JsonNode field(JsonNode node, String name) throws MalformedRecordException {
+    JsonNode value = node.get(name);
+    if (value == null || value.isNull()) {
+      throw new MalformedRecordException("field " + name + " is missing");
+    }
+    return value;
+  }
+
+  private static JsonNode parse(Bytes encoded) throws MalformedRecordException {
+    try {
+      return MAPPER.readTree(encoded.toByteArray());
+    } catch (IOException e) {
+      throw new MalformedRecordException("not JSON", e);
+    }
+  }
+
+  private static Bytes bytes(JsonNode node) {
+    try {
+      return Bytes.copyOf(MAPPER.writeValueAsBytes(node));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree cannot be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobSpec.java
@@ -0,0 +1,36 @@
+package org.lovagerack.fleet.job;
+
+import java.util.List;
+
+/**
+ * What a caller submits.
+ *
+ * @param specification opaque text that every task of the job receives
+ * @param steps steps, at least one
+ * @param bestEffort whether the job is not stored; it is answered when it has ended
+ */
+public record JobSpec(String specification, List<StepSpec> steps, boolean bestEffort) {
+
+  /**
+   * @throws IllegalArgumentException if there is no step, or a step waits for itself or for a later
+   *     one
+   */
+  public JobSpec {
+    steps = List.copyOf(steps);
+    if (steps.isEmpty()) {
+      throw new IllegalArgumentException("a job without steps");
+    }
+    for (int step = 0; step < steps.size(); step++) {
+      for (int earlier : steps.get(step).after()) {
+        if (earlier < 0 || earlier >= step) {
+          throw new IllegalArgumentException("step " + step + " waits for step " + earlier);
+        }
+      }
+    }
+  }
+
+  /** Returns the number of tasks of all steps. */
+  public int taskCount() {
+    return steps.stream().mapToInt(StepSpec::taskCount).sum();
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -0,0 +1,79 @@
+package org.lovagerack.fleet.shard;
+
+import org.lovagerack.fleet.job.JobService;
+
+/** A shard that this process owns: its log and its tenure. */
+public final class OwnedShard {
+
+  private final ShardLog log;
+  private final ShardTenure tenure;
+  private final long token;
+  private Runnable lost = () -> {};
+
+  OwnedShard(
+      OwnedShardFactory parts,
+      ShardRows rows,
+      LeaseRecord lease,
+      long leaseVersion,
+      LeaseClock.Moment takenAt) {
+    this.token = lease.token();
+    this.log =
+        new ShardLog(
+            parts.timer(),
+            parts.clock(),
+            parts.store(),
+            rows,
+            lease,
+            leaseVersion,
+            takenAt,
+            () -> lost.run());
+    this.tenure =
+        new ShardTenure(
+            parts.timer(),
+            parts.wallMillis(),
+            parts.store(),
+            rows,
+            log,
+            lease.token(),
+            parts.calls(),
+            parts.directory(),
+            parts.configuration(),
+            parts.bounds(),
+            parts.counters());
+  }
+
+  /**
+   * Starts to work for the shard.
+   *
+   * @param onLost told once when another process has taken the shard
+   */
+  public void start(Runnable onLost) {
+    lost = onLost;
+    tenure.start();
+  }
+
+  /** Returns the fencing token. */
+  public long token() {
+    return token;
+  }
+
+  /** Returns whether the jobs of earlier owners are known. */
+  public boolean ready() {
+    return tenure.ready();
+  }
+
+  /** Returns the calls that clients make about the shard's jobs. */
+  public JobService jobs() {
+    return tenure;
+  }
+
+  /** Stores what waits and gives the shard up. */
+  public void release(Runnable callback) {
+    log.release(callback);
+  }
+
+  /** Ends all activity at once. */
+  public void close() {
+    tenure.close();
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/TenureCounters.java
@@ -0,0 +1,24 @@
+package org.lovagerack.fleet.shard;
+
+import java.time.Duration;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Receives what is counted about the jobs of this VM. */
+public interface TenureCounters {
+
+  /** A job was stored. */
+  void accepted();
+
+  /** A job was refused. */
+  void refused(ErrorKind kind);
+
+  /** The first task of a job has started, the given time after its acceptance. */
+  void startDelay(Duration delay);
+
+  /** A task has started. */
+  void taskStarted();
+
+  /** A job has ended, the given time after its acceptance. */
+  void ended(JobState state, Duration responseTime);
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/store/RowStore.java
@@ -0,0 +1,36 @@
+package org.lovagerack.fleet.store;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** The store. Every callback runs once, on the caller's event loop. */
+public interface RowStore {
+
+  /** Largest number of rows that one read returns. */
+  int PAGE = 500;
+
+  /** Applies a transaction. */
+  void commit(RowTransaction transaction, Duration timeout, Consumer<CommitOutcome> callback);
+
+  /**
+   * Reads the rows of a partition in order of their keys.
+   *
+   * @param from first key; empty for the start of the partition
+   * @param limit largest number of rows; the store may return fewer
+   */
+  void read(
+      String table,
+      String partition,
+      String from,
+      int limit,
+      Duration timeout,
+      Consumer<ReadOutcome> callback);
+
+  /**
+   * Waits for changes of a table.
+   *
+   * @param after version after which changes are reported
+   * @param wait longest time to wait for a change
+   */
+  void feed(String table, long after, Duration wait, Consumer<ReadOutcome> callback);
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/worker/ReportOutcome.java
@@ -0,0 +1,19 @@
+package org.lovagerack.fleet.worker;
+
+/** Result of asking a worker for its report. */
+public sealed interface ReportOutcome {
+
+  /**
+   * The worker reported.
+   *
+   * @param report its report
+   */
+  record Reported(WorkerReport report) implements ReportOutcome {}
+
+  /**
+   * The worker did not report.
+   *
+   * @param order what is known about the extension of the lease that the call carried
+   */
+  record Missing(OrderOutcome order) implements ReportOutcome {}
+}
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerDirectory.java
@@ -0,0 +1,72 @@
+package org.lovagerack.fleet.worker;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+
+/** The workers that the platform lists at present. */
+public final class WorkerDirectory {
+
+  private static final EventLog LOG = new EventLog(WorkerDirectory.class);
+
+  private final SortedMap<String, WorkerEntry> entries = new TreeMap<>();
+  private final List<Consumer<WorkerId>> listeners = new ArrayList<>();
+
+  /** Adds a listener that is told which worker's entry has changed or gone. */
+  public void addListener(Consumer<WorkerId> listener) {
+    listeners.add(listener);
+  }
+
+  /** Removes a listener. */
+  public void removeListener(Consumer<WorkerId> listener) {
+    listeners.remove(listener);
+  }
+
+  /** Takes a new or changed entry. */
+  public void put(WorkerEntry entry) {
+    WorkerEntry previous = entries.put(entry.id().value(), entry);
+    if (entry.equals(previous)) {
+      return;
+    }
+    LOG.write(
+        LogEvent.WORKER_LISTED,
+        "worker",
+        entry.id(),
+        "address",
+        entry.address(),
+        "draining",
+        entry.draining(),
+        "incarnation",
+        entry.incarnation());
+    notifyListeners(entry.id());
+  }
+
+  /** Drops an entry. */
+  public void remove(WorkerId id) {
+    if (entries.remove(id.value()) != null) {
+      LOG.write(LogEvent.WORKER_UNLISTED, "worker", id);
+      notifyListeners(id);
+    }
+  }
+
+  /** Returns the entry of a worker. */
+  public Optional<WorkerEntry> find(WorkerId id) {
+    return Optional.ofNullable(entries.get(id.value()));
+  }
+
+  /** Returns all entries, in order of their identities. */
+  public Collection<WorkerEntry> entries() {
+    return Collections.unmodifiableCollection(entries.values());
+  }
+
+  private void notifyListeners(WorkerId id) {
+    List.copyOf(listeners).forEach(listener -> listener.accept(id));
+  }
+}
--- a/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/error/ErrorKind.java
@@ -17,6 +17,7 @@
   NOT_FOUND(404, 3, Guarantee.NONE, "There is no such resource"),
   DEADLINE_PASSED(422, 5, Guarantee.NOT_RUN, "The deadline has passed already"),
   IMPOSSIBLE_JOB(422, 5, Guarantee.NOT_RUN, "No upstream could finish a task by the deadline"),
+  UNSUPPORTED_JOB(501, 2, Guarantee.NOT_RUN, "The job asks for something that is not offered"),
   OVERLOADED(503, 6, Guarantee.NOT_RUN, "There is no capacity for the job before its deadline"),
   QUEUE_FULL(503, 6, Guarantee.NOT_RUN, "The queue of the service is full"),
   QUOTA_EXCEEDED(429, 6, Guarantee.NOT_RUN, "The quota of the team is used up"),
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -0,0 +1,197 @@
+package org.lovagerack.node;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.lovagerack.eventloop.HttpCaller;
+import org.lovagerack.fleet.configuration.ConfigurationHolder;
+import org.lovagerack.fleet.entry.JobRouter;
+import org.lovagerack.fleet.shard.FleetBounds;
+import org.lovagerack.fleet.shard.LeaseClock;
+import org.lovagerack.fleet.shard.OwnedShardFactory;
+import org.lovagerack.fleet.shard.ShardLease;
+import org.lovagerack.fleet.shard.ShardRows;
+import org.lovagerack.fleet.store.TableFollower;
+import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.node.peer.PeerClient;
+import org.lovagerack.node.peer.PeerServer;
+import org.lovagerack.node.settings.NodeSettings;
+import org.lovagerack.platform.wire.ClientInterface;
+import org.lovagerack.platform.wire.ConfigurationRows;
+import org.lovagerack.platform.wire.TableStore;
+import org.lovagerack.platform.wire.WorkerClient;
+import org.lovagerack.platform.wire.WorkerEntries;
+
+/** All parts of one entry VM, on one event loop. */
+final class EntryNode {
+
+  private static final EventLog LOG = new EventLog(EntryNode.class);
+
+  /** Two long polls, a transaction, and reads during recovery. */
+  private static final int STORE_CONNECTIONS = 6;
+
+  /** One report that waits, and starts beside it. */
+  private static final int WORKER_CONNECTIONS = 4;
+
+  private static final int PEER_CONNECTIONS = 16;
+
+  /**
+   * Longest wait of one call that follows a table; with its grace below the time after which the
+   * platform expects a machine with silent connections to know the configuration again.
+   */
+  private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
+
+  /** Part of the time for a stop after which connections are closed. */
+  private static final double CONNECTIONS_OPEN = 0.7;
+
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+  private static final int LARGEST_HEADERS = 16_384;
+
+  private final Vertx vertx;
+  private final NodeSettings settings;
+  private final TimerService timer;
+  private final ConfigurationHolder configuration = new ConfigurationHolder();
+  private final NodeMetrics metrics = new NodeMetrics();
+  private final JobRouter router;
+  private final TableFollower configurationFollower;
+  private final TableFollower workerFollower;
+  private final ClientInterface clients;
+  private final PeerServer peers;
+  private HttpServer clientServer;
+  private boolean workersKnown;
+  private boolean stopping;
+
+  EntryNode(
+      Vertx vertx,
+      NodeSettings settings,
+      TimerService timer,
+      RandomGenerator random,
+      long incarnation) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.timer = timer;
+    TableStore store =
+        new TableStore(new HttpCaller(vertx, STORE_CONNECTIONS), settings.storeAddress());
+    WorkerDirectory directory = new WorkerDirectory();
+    WorkerEntries entries = new WorkerEntries(directory);
+    configurationFollower =
+        new TableFollower(
+            timer,
+            store,
+            ConfigurationRows.TABLE,
+            List.of(""),
+            FOLLOW_WAIT,
+            new ConfigurationRows(configuration));
+    workerFollower =
+        new TableFollower(
+            timer,
+            store,
+            WorkerEntries.TABLE,
+            List.of(""),
+            FOLLOW_WAIT,
+            new LoadedListener(entries, () -> workersKnown = true));
+    LeaseClock clock = new LeaseClock(timer, System::currentTimeMillis);
+    OwnedShardFactory factory =
+        new OwnedShardFactory(
+            timer,
+            System::currentTimeMillis,
+            clock,
+            store,
+            new WorkerClient(new HttpCaller(vertx, WORKER_CONNECTIONS)),
+            directory,
+            configuration,
+            new FleetBounds(
+                settings.longestWorkerLease(), settings.cancelWithin(), settings.statusRetention()),
+            metrics);
+    List<ShardLease> leases =
+        IntStream.range(0, settings.shards())
+            .mapToObj(
+                shard ->
+                    new ShardLease(
+                        timer,
+                        clock,
+                        store,
+                        ShardRows.of(shard),
+                        settings.peerAddress(),
+                        incarnation,
+                        factory))
+            .toList();
+    router =
+        new JobRouter(
+            timer, random, store, new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS)), leases);
+    clients = new ClientInterface(vertx, configuration, router, () -> stopping);
+    peers = new PeerServer(router, incarnation);
+  }
+
+  /** Opens the ports and starts to follow the store. */
+  Future<Void> start() {
+    return listen(settings.peerAddress(), peers::handle)
+        .compose(server -> listen(settings.readinessAddress(), this::readiness))
+        .compose(server -> listen(settings.metricsAddress(), this::metrics))
+        .compose(server -> listen(settings.clientAddress(), clients::handle))
+        .map(
+            server -> {
+              clientServer = server;
+              configurationFollower.start();
+              workerFollower.start();
+              router.start();
+              return null;
+            });
+  }
+
+  /** Returns the port for clients; valid once started. */
+  int clientPort() {
+    return clientServer.actualPort();
+  }
+
+  /**
+   * Stops as planned: gives the shards up, goes on serving open connections while clients move to
+   * other VMs, and then closes them when they are idle.
+   */
+  Future<Void> stop() {
+    Promise<Void> stopped = Promise.promise();
+    stopping = true;
+    Duration open = Duration.ofMillis((long) (settings.stopWithin().toMillis() * CONNECTIONS_OPEN));
+    Duration closing = settings.stopWithin().minus(open).dividedBy(2);
+    LOG.write(LogEvent.DRAIN_STARTED, "shards", router.ownedShards());
+    router.retire(() -> LOG.write(LogEvent.DRAIN_FINISHED));
+    timer.after(
+        open,
+        () ->
+            clientServer
+                .shutdown(closing.toMillis(), TimeUnit.MILLISECONDS)
+                .onComplete(ignored -> stopped.complete()));
+    return stopped.future();
+  }
+
+  private Future<HttpServer> listen(
+      String address, io.vertx.core.Handler<HttpServerRequest> handler) {
+    int colon = address.lastIndexOf(':');
+    return vertx
+        .createHttpServer(new HttpServerOptions().setMaxHeaderSize(LARGEST_HEADERS))
+        .requestHandler(handler)
+        .listen(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon));
+  }
+
+  private void readiness(HttpServerRequest request) {
+    boolean ready =
+        !stopping && workersKnown && configuration.inForce().isPresent() && router.ready();
+    request.response().setStatusCode(ready ? OK : UNAVAILABLE).end();
+  }
+
+  private void metrics(HttpServerRequest request) {
+    request.response().putHeader("Content-Type", "text/plain").end(metrics.text());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/NodeMain.java
@@ -0,0 +1,162 @@
+package org.lovagerack.node;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.apache.logging.log4j.LogManager;
+import org.lovagerack.eventloop.EventLoopTimer;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.LovagerackException;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.node.settings.NodeSettings;
+import org.lovagerack.node.settings.NodeSettingsLoader;
+
+/** Main class of an entry VM. */
+public final class NodeMain {
+
+  private static final int USAGE_EXIT_CODE = 2;
+
+  /** Names the settings file if no argument does. */
+  private static final String SETTINGS_VARIABLE = "LOVAGERACK_NODE_FILE";
+
+  private static final EventLog LOG = new EventLog(NodeMain.class);
+
+  private final Path settingsFile;
+  private final NodeSettings settings;
+
+  private NodeMain(Path settingsFile, NodeSettings settings) {
+    this.settingsFile = settingsFile;
+    this.settings = settings;
+  }
+
+  /** Runs the entry VM until it is told to stop. */
+  public static void main(String[] arguments) {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("lovagerack-node")
+            .build()
+            .description("Entry VM of lovagerack; SIGTERM stops it as planned.")
+            .epilog(
+                "Exit codes: 1 error, 2 wrong arguments or settings, 143 stopped as planned by"
+                    + " SIGTERM.");
+    parser
+        .addArgument("settings")
+        .nargs("?")
+        .help("settings file, JSON; by default the file that " + SETTINGS_VARIABLE + " names");
+    parser
+        .addArgument("--check")
+        .action(Arguments.storeTrue())
+        .help("check the settings file and exit");
+    try {
+      Namespace options = parser.parseArgs(arguments);
+      String named = options.getString("settings");
+      String file = named == null ? System.getenv(SETTINGS_VARIABLE) : named;
+      if (file == null) {
+        throw new ArgumentParserException("no settings file", parser);
+      }
+      NodeSettings settings = new NodeSettingsLoader().load(Path.of(file));
+      if (options.getBoolean("check")) {
+        System.out.println("settings are valid");
+        return;
+      }
+      new NodeMain(Path.of(file), settings).run();
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      System.exit(USAGE_EXIT_CODE);
+    } catch (LovagerackException e) {
+      System.err.println(e.getMessage());
+      System.exit(e.failure().kind().exitCode());
+    }
+  }
+
+  /** Returns a Vert.x with one event loop, which is all that this program uses. */
+  static Vertx vertx() {
+    return Vertx.vertx(
+        new VertxOptions()
+            .setPreferNativeTransport(false)
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1)
+            .setFileSystemOptions(
+                new FileSystemOptions()
+                    .setFileCachingEnabled(false)
+                    .setClassPathResolvingEnabled(false)));
+  }
+
+  private void run() {
+    Vertx vertx = vertx();
+    Context context = vertx.getOrCreateContext();
+    context.exceptionHandler(cause -> LOG.write(LogEvent.UNEXPECTED_ERROR, cause));
+    HangupSignal.handle(this::reload);
+    context.runOnContext(ignored -> start(vertx, context));
+  }
+
+  private void start(Vertx vertx, Context context) {
+    SecureRandom seeds = new SecureRandom();
+    EntryNode node =
+        new EntryNode(
+            vertx,
+            settings,
+            new EventLoopTimer(vertx, context),
+            new SplittableRandom(seeds.nextLong()),
+            seeds.nextLong());
+    node.start()
+        .onSuccess(
+            ignored -> {
+              stopOnSignal(context, node);
+              LOG.write(
+                  LogEvent.DAEMON_STARTED,
+                  "name",
+                  settings.name(),
+                  "clients",
+                  settings.clientAddress(),
+                  "peers",
+                  settings.peerAddress());
+            })
+        .onFailure(
+            cause -> {
+              LOG.write(LogEvent.UNEXPECTED_ERROR, cause, "step", "start");
+              System.exit(ErrorKind.INTERNAL.exitCode());
+            });
+  }
+
+  /** Checks the file again; its values take effect at the next start of the process. */
+  private void reload() {
+    try {
+      NodeSettings changed = new NodeSettingsLoader().load(settingsFile);
+      LOG.write(LogEvent.SETTINGS_RELOADED, "changed", !changed.equals(settings));
+    } catch (LovagerackException e) {
+      LOG.write(LogEvent.SETTINGS_REJECTED, "reason", e.getMessage());
+    }
+  }
+
+  /** The hook blocks the exit of the process until the planned stop is finished. */
+  private static void stopOnSignal(Context context, EntryNode node) {
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  CountDownLatch stopped = new CountDownLatch(1);
+                  context.runOnContext(
+                      ignored -> node.stop().onComplete(done -> stopped.countDown()));
+                  try {
+                    stopped.await();
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                  LOG.write(LogEvent.DAEMON_STOPPED);
+                  LogManager.shutdown();
+                },
+                "planned-stop"));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/NodeMetrics.java
@@ -0,0 +1,74 @@
+package org.lovagerack.node;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import java.time.Duration;
+import java.util.Locale;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.shard.TenureCounters;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Counters and latency histograms of an entry VM. */
+final class NodeMetrics implements TenureCounters {
+
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Histogram startDelay = registry.histogram("job_start_delay_millis");
+  private final Histogram responseTime = registry.histogram("job_response_time_millis");
+
+  @Override
+  public void accepted() {
+    registry.counter("jobs_accepted").inc();
+  }
+
+  @Override
+  public void refused(ErrorKind kind) {
+    registry.counter("jobs_refused{kind=\"" + kind.wireName() + "\"}").inc();
+  }
+
+  @Override
+  public void startDelay(Duration delay) {
+    startDelay.update(delay.toMillis());
+  }
+
+  @Override
+  public void taskStarted() {
+    registry.counter("tasks_started").inc();
+  }
+
+  @Override
+  public void ended(JobState state, Duration response) {
+    registry.counter("jobs_ended{state=\"" + state.name().toLowerCase(Locale.ROOT) + "\"}").inc();
+    responseTime.update(response.toMillis());
+  }
+
+  /** Returns all metrics as text, one a line. */
+  String text() {
+    StringBuilder text = new StringBuilder();
+    registry
+        .getCounters()
+        .forEach(
+            (name, counter) ->
+                text.append(name).append(' ').append(counter.getCount()).append('\n'));
+    registry
+        .getHistograms()
+        .forEach(
+            (name, histogram) -> {
+              Snapshot snapshot = histogram.getSnapshot();
+              line(text, name, "0.5", snapshot.getMedian());
+              line(text, name, "0.95", snapshot.get95thPercentile());
+              line(text, name, "0.99", snapshot.get99thPercentile());
+              text.append(name).append("_count ").append(histogram.getCount()).append('\n');
+            });
+    return text.toString();
+  }
+
+  private static void line(StringBuilder text, String name, String quantile, double value) {
+    text.append(name)
+        .append("{quantile=\"")
+        .append(quantile)
+        .append("\"} ")
+        .append(value)
+        .append('\n');
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -0,0 +1,146 @@
+package org.lovagerack.node.peer;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.lovagerack.eventloop.HttpCaller;
+import org.lovagerack.eventloop.HttpReply;
+import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.fleet.entry.PeerCalls;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.job.SubmittedJob;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Calls other entry VMs over HTTP. */
+public final class PeerClient implements PeerCalls {
+
+  /** A cancellation waits for the store; a slow one takes about half a second. */
+  private static final Duration CANCEL_TIMEOUT = Duration.ofMillis(2500);
+
+  private static final Duration QUERY_TIMEOUT = Duration.ofMillis(700);
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final HttpCaller caller;
+
+  /** Creates a client. */
+  public PeerClient(HttpCaller caller) {
+    this.caller = caller;
+  }
+
+  @Override
+  public void probe(
+      String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
+    caller.call(
+        HttpMethod.GET,
+        address,
+        PeerProtocol.PROCESS_PATH,
+        headers(incarnation),
+        Buffer.buffer(),
+        timeout,
+        reply -> callback.accept(liveness(reply)));
+  }
+
+  private static Liveness liveness(HttpReply reply) {
+    return switch (reply) {
+      case HttpReply.Response response ->
+          response.status() == PeerProtocol.MISDIRECTED ? Liveness.GONE : Liveness.ALIVE;
+      case HttpReply.NotSent notSent ->
+          notSent.reason().contains("refused") ? Liveness.GONE : Liveness.SILENT;
+      case HttpReply.NoResponse none -> Liveness.SILENT;
+    };
+  }
+
+  @Override
+  public JobService jobsAt(String address, long incarnation) {
+    return new RemoteJobs(address, incarnation);
+  }
+
+  private static Map<String, String> headers(long incarnation) {
+    return Map.of(PeerProtocol.INCARNATION_HEADER, Long.toString(incarnation));
+  }
+
+  private final class RemoteJobs implements JobService {
+    private final String address;
+    private final long incarnation;
+
+    RemoteJobs(String address, long incarnation) {
+      this.address = address;
+      this.incarnation = incarnation;
+    }
+
+    @Override
+    public void submit(
+        String jobId, Queue queue, JobSpec spec, Duration patience, Consumer<JobAnswer> callback) {
+      Buffer body =
+          Buffer.buffer(JobCodec.encode(new SubmittedJob(jobId, queue, 0, spec)).toByteArray());
+      Map<String, String> headers =
+          Map.of(
+              PeerProtocol.INCARNATION_HEADER,
+              Long.toString(incarnation),
+              PeerProtocol.PATIENCE_HEADER,
+              Long.toString(patience.toMillis()));
+      call(HttpMethod.PUT, PeerProtocol.JOBS_PATH + jobId, headers, body, patience, callback);
+    }
+
+    @Override
+    public void state(String jobId, Consumer<JobAnswer> callback) {
+      query(HttpMethod.GET, PeerProtocol.JOBS_PATH + jobId, callback);
+    }
+
+    @Override
+    public void cancel(String jobId, Consumer<JobAnswer> callback) {
+      call(
+          HttpMethod.DELETE,
+          PeerProtocol.JOBS_PATH + jobId,
+          headers(incarnation),
+          Buffer.buffer(),
+          CANCEL_TIMEOUT,
+          callback);
+    }
+
+    @Override
+    public void pending(String queueName, Consumer<JobAnswer> callback) {
+      query(HttpMethod.GET, PeerProtocol.QUEUES_PATH + queueName, callback);
+    }
+
+    private void query(HttpMethod method, String path, Consumer<JobAnswer> callback) {
+      call(method, path, headers(incarnation), Buffer.buffer(), QUERY_TIMEOUT, callback);
+    }
+
+    private void call(
+        HttpMethod method,
+        String path,
+        Map<String, String> headers,
+        Buffer body,
+        Duration timeout,
+        Consumer<JobAnswer> callback) {
+      caller.call(
+          method, address, path, headers, body, timeout, reply -> callback.accept(answer(reply)));
+    }
+
+    private static JobAnswer answer(HttpReply reply) {
+      return switch (reply) {
+        case HttpReply.NotSent notSent ->
+            new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, RETRY_AFTER);
+        case HttpReply.NoResponse none -> new JobAnswer.Unresolved(ErrorKind.OWNER_UNREACHABLE);
+        case HttpReply.Response response -> {
+          if (response.status() != PeerProtocol.OK) {
+            yield new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, RETRY_AFTER);
+          }
+          try {
+            yield PeerProtocol.decode(response.body());
+          } catch (IOException e) {
+            yield new JobAnswer.Unresolved(ErrorKind.INVALID_FRAME);
+          }
+        }
+      };
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
@@ -0,0 +1,80 @@
+package org.lovagerack.node.peer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.time.Duration;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Paths and bodies of the calls between entry VMs. */
+final class PeerProtocol {
+
+  static final String PROCESS_PATH = "/v1/process";
+  static final String JOBS_PATH = "/v1/jobs/";
+  static final String QUEUES_PATH = "/v1/queues/";
+
+  /** Incarnation of the process that a call is meant for. */
+  static final String INCARNATION_HEADER = "Lovagerack-Incarnation";
+
+  /** How long the caller's client waits, milliseconds. */
+  static final String PATIENCE_HEADER = "Lovagerack-Patience-Millis";
+
+  static final int OK = 200;
+
+  /** Another incarnation has the address. */
+  static final int MISDIRECTED = 421;
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private PeerProtocol() {}
+
+  static Buffer encode(JobAnswer answer) {
+    ObjectNode node = MAPPER.createObjectNode();
+    switch (answer) {
+      case JobAnswer.Accepted accepted -> node.put("answer", "accepted");
+      case JobAnswer.State state -> node.put("answer", "state").put("state", state.state().name());
+      case JobAnswer.Cancelled cancelled -> node.put("answer", "cancelled");
+      case JobAnswer.Pending pending -> node.put("answer", "pending").put("jobs", pending.jobs());
+      case JobAnswer.UnknownJob unknown -> node.put("answer", "unknown-job");
+      case JobAnswer.Refused refused ->
+          node.put("answer", "refused")
+              .put("kind", refused.kind().name())
+              .put("retryAfterMillis", refused.retryAfter().toMillis());
+      case JobAnswer.Unresolved unresolved ->
+          node.put("answer", "unresolved").put("kind", unresolved.kind().name());
+    }
+    try {
+      return Buffer.buffer(MAPPER.writeValueAsBytes(node));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree cannot be written", e);
+    }
+  }
+
+  static JobAnswer decode(Buffer body) throws IOException {
+    JsonNode node = MAPPER.readTree(body.getBytes());
+    String answer = node.path("answer").asText();
+    try {
+      return switch (answer) {
+        case "accepted" -> new JobAnswer.Accepted();
+        case "state" -> new JobAnswer.State(JobState.valueOf(node.path("state").asText()));
+        case "cancelled" -> new JobAnswer.Cancelled();
+        case "pending" -> new JobAnswer.Pending(node.path("jobs").asLong());
+        case "unknown-job" -> new JobAnswer.UnknownJob();
+        case "refused" ->
+            new JobAnswer.Refused(
+                ErrorKind.valueOf(node.path("kind").asText()),
+                Duration.ofMillis(node.path("retryAfterMillis").asLong()));
+        case "unresolved" ->
+            new JobAnswer.Unresolved(ErrorKind.valueOf(node.path("kind").asText()));
+        default -> throw new IOException("answer " + answer);
+      };
+    } catch (IllegalArgumentException e) {
+      throw new IOException("answer " + answer, e);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between entry VMs. */
+package org.lovagerack.node.peer;
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
@@ -0,0 +1,121 @@
+package org.lovagerack.node.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.error.Failure;
+import org.lovagerack.foundation.error.LovagerackException;
+
+/** Reads and checks the settings file; all problems are reported together. */
+public final class NodeSettingsLoader {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final long MAX_MILLIS = 86_400_000;
+  private static final int MAX_SHARDS = 4096;
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Loads a file.
+   *
+   * @throws LovagerackException with {@code SETTINGS_INVALID} if the file cannot be read or a value
+   *     is missing, unknown or out of range
+   */
+  public NodeSettings load(Path file) throws LovagerackException {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(Files.readAllBytes(file));
+    } catch (IOException e) {
+      throw invalid(file + ": " + e.getMessage());
+    }
+    if (root == null || !root.isObject()) {
+      throw invalid(file + ": not a JSON object");
+    }
+    Reader reader = new Reader(root);
+    NodeSettings settings =
+        new NodeSettings(
+            reader.text("name"),
+            reader.text("failureDomain"),
+            reader.address("clientAddress"),
+            reader.address("readinessAddress"),
+            reader.address("peerAddress"),
+            reader.address("metricsAddress"),
+            reader.address("storeAddress"),
+            (int) reader.number("shards", 1, MAX_SHARDS),
+            reader.millis("longestWorkerLeaseMillis"),
+            reader.millis("cancelWithinMillis"),
+            reader.millis("statusRetentionMillis"),
+            reader.millis("stopWithinMillis"));
+    reader.finish(file);
+    return settings;
+  }
+
+  private static LovagerackException invalid(String detail) {
+    return new LovagerackException(Failure.notRun(ErrorKind.SETTINGS_INVALID, detail));
+  }
+
+  private static final class Reader {
+    private final JsonNode root;
+    private final Set<String> unread = new TreeSet<>();
+    private final List<String> problems = new ArrayList<>();
+
+    Reader(JsonNode root) {
+      this.root = root;
+      root.fieldNames().forEachRemaining(unread::add);
+    }
+
+    String text(String field) {
+      unread.remove(field);
+      JsonNode value = root.path(field);
+      if (!value.isTextual() || value.asText().isEmpty()) {
+        problems.add(field + " is not a text: " + value);
+        return "";
+      }
+      return value.asText();
+    }
+
+    String address(String field) {
+      String value = text(field);
+      if (!value.isEmpty() && !isAddress(value)) {
+        problems.add(field + " is not an IP number and a port: " + value);
+      }
+      return value;
+    }
+
+    long number(String field, long smallest, long largest) {
+      unread.remove(field);
+      JsonNode value = root.path(field);
+      if (!value.isIntegralNumber() || value.asLong() < smallest || value.asLong() > largest) {
+        problems.add(
+            field + " is not a whole number from " + smallest + " to " + largest + ": " + value);
+        return smallest;
+      }
+      return value.asLong();
+    }
+
+    Duration millis(String field) {
+      return Duration.ofMillis(number(field, 1, MAX_MILLIS));
+    }
+
+    void finish(Path file) throws LovagerackException {
+      unread.forEach(field -> problems.add(field + " is not a setting"));
+      if (!problems.isEmpty()) {
+        throw invalid(file + ": " + String.join("; ", problems));
+      }
+    }
+
+    private static boolean isAddress(String value) {
+      if (!value.matches("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}")) {
+        return false;
+      }
+      return Integer.parseInt(value.substring(value.lastIndexOf(':') + 1)) <= MAX_PORT;
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of an entry VM. */
+package org.lovagerack.node.settings;
