Keep best-effort jobs going through outages and changes of owner

Jobs were refused for as long as the store was away, although jobs of best effort do not need it, and every change of owner lost the jobs in flight.

Change: a stopping VM closes connections after their next answer, refuses what could not end in time, and answers everything before it exits. Jobs of best effort go on while the entry VM that holds the client's connection is in contact. An entry VM submits a job again to the next owner, which continues the runs it finds. The lease lasts as long as the store's latency asks for. Only owners follow the workers.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -7,10 +7,9 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
-import org.lovagerack.fleet.configuration.Queue;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobService;
-import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.shard.ShardLease;
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.store.RowKey;
@@ -29,6 +28,7 @@
   /** Longest wait of one call that follows the owners; bounds how long a silent one is trusted. */
   private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
 
+  private final TimerService timer;
   private final List<ShardSeat> seats;
   private final StoredJobs storedJobs;
   private final TableFollower owners;
@@ -44,6 +44,7 @@
       RowStore store,
       PeerCalls peers,
       List<ShardLease> leases) {
+    this.timer = timer;
     this.seats =
         IntStream.range(0, leases.size())
             .mapToObj(shard -> new ShardSeat(timer, random, peers, leases.get(shard), shard))
@@ -56,6 +57,7 @@
             ShardRows.OWNER_TABLE,
             ShardRows.partitions(leases.size()),
             FOLLOW_WAIT,
+            Duration.ZERO,
             new OwnerListener());
   }
 
@@ -101,9 +103,13 @@
   }
 
   @Override
-  public void submit(
-      String jobId, Queue queue, JobSpec spec, Duration patience, Consumer<JobAnswer> callback) {
-    pass(jobId, (jobs, answer) -> jobs.submit(jobId, queue, spec, patience, answer), callback);
+  public void submit(Submission submission, Consumer<JobAnswer> callback) {
+    new SubmissionRelay(timer, seat(submission.jobId()), submission, callback).start();
+  }
+
+  @Override
+  public void abandon(Submission submission) {
+    seat(submission.jobId()).jobs().ifPresent(jobs -> jobs.abandon(submission));
   }
 
   @Override
@@ -153,21 +159,13 @@
     call.accept(
         jobs.get(),
         answer -> {
-          if (ownerFailed(answer)) {
+          if (OwnerFailures.isOne(answer)) {
             seat.suspectOwner();
           }
           callback.accept(answer);
         });
   }
 
-  private static boolean ownerFailed(JobAnswer answer) {
-    return switch (answer) {
-      case JobAnswer.Refused refused -> refused.kind() == ErrorKind.OWNER_UNREACHABLE;
-      case JobAnswer.Unresolved unresolved -> unresolved.kind() == ErrorKind.OWNER_UNREACHABLE;
-      default -> false;
-    };
-  }
-
   private ShardSeat seat(String jobId) {
     return seats.get(shard(jobId));
   }
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/OwnerFailures.java
@@ -0,0 +1,23 @@
+package org.lovagerack.fleet.entry;
+
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Tells answers of an owner from the lack of one. */
+final class OwnerFailures {
+
+  private OwnerFailures() {}
+
+  /** Returns whether an answer means that the owner was not reached, or is the owner no more. */
+  static boolean isOne(JobAnswer answer) {
+    return switch (answer) {
+      case JobAnswer.Refused refused -> isOne(refused.kind());
+      case JobAnswer.Unresolved unresolved -> isOne(unresolved.kind());
+      default -> false;
+    };
+  }
+
+  private static boolean isOne(ErrorKind kind) {
+    return kind == ErrorKind.OWNER_UNREACHABLE || kind == ErrorKind.OWNER_LOST;
+  }
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -20,10 +20,10 @@
  */
 final class ShardSeat {
 
-  /** Period of the probes of the owner; a third of the lease. */
-  private static final Duration PROBE_PERIOD = Duration.ofMillis(600);
+  /** Period of the probes of the owner; a third of the silence after which it drops our jobs. */
+  private static final Duration PROBE_PERIOD = Duration.ofMillis(300);
 
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
 
   /** Spreads the attempts of several VMs to take one shard. */
   private static final Duration LONGEST_JITTER = Duration.ofMillis(60);
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobService.java
@@ -1,8 +1,6 @@
 package org.lovagerack.fleet.job;
 
-import java.time.Duration;
 import java.util.function.Consumer;
-import org.lovagerack.fleet.configuration.Queue;
 
 /** Calls about jobs. Every callback runs once, on the caller's event loop. */
 public interface JobService {
@@ -10,11 +8,13 @@
   /**
    * Submits a job. Submitting the same identifier again does not create a second job. A job that is
    * to be kept is answered when it is stored, one of best effort when it has ended.
-   *
-   * @param patience how long the caller waits for the answer
    */
-  void submit(
-      String jobId, Queue queue, JobSpec spec, Duration patience, Consumer<JobAnswer> callback);
+  void submit(Submission submission, Consumer<JobAnswer> callback);
+
+  /**
+   * The client of a submission is gone: a job of best effort that nobody else waits for is ended.
+   */
+  void abandon(Submission submission);
 
   /** Asks for the state of a job. */
   void state(String jobId, Consumer<JobAnswer> callback);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -5,11 +5,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobProgress;
 import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Objective;
 import org.lovagerack.fleet.job.StepSpec;
 import org.lovagerack.fleet.job.SubmittedJob;
 import org.lovagerack.fleet.job.TaskId;
@@ -27,13 +30,23 @@
     ENDED
   }
 
+  /**
+   * Somebody who waits for an outcome.
+   *
+   * @param entry process that holds the client's connection
+   * @param callback receives the answer
+   */
+  record Waiter(Optional<EntryId> entry, Consumer<JobAnswer> callback) {}
+
   private final SubmittedJob submitted;
   private final long acceptedNanos;
   private final boolean recovered;
+  private final Duration estimatedChain;
+  private final Duration objective;
   private final List<Task> tasks = new ArrayList<>();
   private final int[] remainingInStep;
   private final List<EndReceipt> unsettledEnds = new ArrayList<>();
-  private final List<Consumer<JobAnswer>> waiting = new ArrayList<>();
+  private final List<Waiter> waiting = new ArrayList<>();
   private Phase phase;
   private JobState finalState;
   private int nextRun;
@@ -44,6 +57,8 @@
     this.submitted = submitted;
     this.acceptedNanos = acceptedNanos;
     this.recovered = recovered;
+    this.estimatedChain = Objective.estimatedChain(submitted.spec());
+    this.objective = Objective.of(submitted.queue(), submitted.spec());
     this.phase = recovered ? Phase.ACTIVE : Phase.STORING;
     this.nextRun = RunNumbers.first(submitted.acceptedByToken(), token);
     this.remainingInStep = new int[submitted.spec().steps().size()];
@@ -64,6 +79,10 @@
     return submitted.queue();
   }
 
+  boolean bestEffort() {
+    return submitted.spec().bestEffort();
+  }
+
   SubmittedJob submitted() {
     return submitted;
   }
@@ -132,7 +151,7 @@
   }
 
   /** Returns callers that wait for the outcome of what is being stored. */
-  List<Consumer<JobAnswer>> waiting() {
+  List<Waiter> waiting() {
     return waiting;
   }
 
@@ -178,24 +197,12 @@
 
   /** Returns the caller's estimate of the longest chain of tasks. */
   Duration estimatedChain() {
-    List<StepSpec> steps = submitted.spec().steps();
-    long[] finish = new long[steps.size()];
-    long longest = 0;
-    for (int step = 0; step < finish.length; step++) {
-      long start = 0;
-      for (int earlier : steps.get(step).after()) {
-        start = Math.max(start, finish[earlier]);
-      }
-      finish[step] = start + steps.get(step).estimatedDuration().toNanos();
-      longest = Math.max(longest, finish[step]);
-    }
-    return Duration.ofNanos(longest);
+    return estimatedChain;
   }
 
   /** Returns the time within which the caller wants the job to end. */
   Duration objective() {
-    long chain = (long) (estimatedChain().toNanos() * queue().stretch());
-    return Duration.ofNanos(chain).plus(queue().targetLatency());
+    return objective;
   }
 
   JobProgress progress() {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/LeaseRecord.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/LeaseRecord.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.time.Duration;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.foundation.data.Bytes;
 
@@ -15,8 +16,10 @@
  * @param sequence number of the transaction that wrote the record, unique under one token
  * @param ownerAddress address for calls from other entry VMs; empty if the owner gave the shard up
  * @param ownerIncarnation random number of the owner's process
+ * @param duration time for which the owner may act after it sent the transaction
  */
-public record LeaseRecord(long token, long sequence, String ownerAddress, long ownerIncarnation) {
+public record LeaseRecord(
+    long token, long sequence, String ownerAddress, long ownerIncarnation, Duration duration) {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -30,12 +33,12 @@
     return token == other.token && ownerIncarnation == other.ownerIncarnation;
   }
 
-  LeaseRecord withSequence(long newSequence) {
-    return new LeaseRecord(token, newSequence, ownerAddress, ownerIncarnation);
+  LeaseRecord renewed(Duration newDuration) {
+    return new LeaseRecord(token, sequence + 1, ownerAddress, ownerIncarnation, newDuration);
   }
 
-  LeaseRecord released(long newSequence) {
-    return new LeaseRecord(token, newSequence, "", ownerIncarnation);
+  LeaseRecord released() {
+    return new LeaseRecord(token, sequence + 1, "", ownerIncarnation, duration);
   }
 
   /** Returns the stored form. */
@@ -45,6 +48,7 @@
     node.put("sequence", sequence);
     node.put("address", ownerAddress);
     node.put("incarnation", ownerIncarnation);
+    node.put("durationMillis", duration.toMillis());
     try {
       return Bytes.copyOf(MAPPER.writeValueAsBytes(node));
     } catch (JsonProcessingException e) {
@@ -64,13 +68,17 @@
     } catch (IOException e) {
       throw new MalformedRecordException("lease record is not JSON", e);
     }
-    if (!node.path("token").canConvertToLong() || !node.path("address").isTextual()) {
-      throw new MalformedRecordException("lease record without token or address: " + node);
+    if (!node.path("token").canConvertToLong()
+        || !node.path("address").isTextual()
+        || node.path("durationMillis").asLong() <= 0) {
+      throw new MalformedRecordException(
+          "lease record without token, address or duration: " + node);
     }
     return new LeaseRecord(
         node.path("token").asLong(),
         node.path("sequence").asLong(),
         node.path("address").asText(),
-        node.path("incarnation").asLong());
+        node.path("incarnation").asLong(),
+        Duration.ofMillis(node.path("durationMillis").asLong()));
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -1,6 +1,7 @@
 package org.lovagerack.fleet.shard;
 
 import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.worker.WorkerFeed;
 
 /** A shard that this process owns: its log and its tenure. */
 public final class OwnedShard {
@@ -8,6 +9,7 @@
   private final ShardLog log;
   private final ShardTenure tenure;
   private final long token;
+  private final WorkerFeed workers;
   private Runnable lost = () -> {};
 
   OwnedShard(
@@ -17,6 +19,7 @@
       long leaseVersion,
       LeaseClock.Moment takenAt) {
     this.token = lease.token();
+    this.workers = parts.workers();
     this.log =
         new ShardLog(
             parts.timer(),
@@ -27,19 +30,7 @@
             leaseVersion,
             takenAt,
             () -> lost.run());
-    this.tenure =
-        new ShardTenure(
-            parts.timer(),
-            parts.wallMillis(),
-            parts.store(),
-            rows,
-            log,
-            lease.token(),
-            parts.calls(),
-            parts.directory(),
-            parts.configuration(),
-            parts.bounds(),
-            parts.counters());
+    this.tenure = new ShardTenure(parts, rows, log, lease.token());
   }
 
   /**
@@ -49,6 +40,7 @@
    */
   public void start(Runnable onLost) {
     lost = onLost;
+    workers.acquire();
     tenure.start();
   }
 
@@ -75,5 +67,6 @@
   /** Ends all activity at once. */
   public void close() {
     tenure.close();
+    workers.release();
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
@@ -4,7 +4,7 @@
 import org.lovagerack.fleet.configuration.ConfigurationHolder;
 import org.lovagerack.fleet.store.RowStore;
 import org.lovagerack.fleet.worker.WorkerCalls;
-import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.fleet.worker.WorkerFeed;
 import org.lovagerack.foundation.timer.TimerService;
 
 /**
@@ -15,7 +15,8 @@
  * @param clock measures the lease
  * @param store the store
  * @param calls orders to workers
- * @param directory workers that the platform lists
+ * @param workers workers that the platform lists
+ * @param contacts entry VMs in contact
  * @param configuration configuration in force
  * @param bounds bounds that the platform sets
  * @param counters receives counts
@@ -26,7 +27,8 @@
     LeaseClock clock,
     RowStore store,
     WorkerCalls calls,
-    WorkerDirectory directory,
+    WorkerFeed workers,
+    EntryContacts contacts,
     ConfigurationHolder configuration,
     FleetBounds bounds,
     TenureCounters counters) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -111,7 +111,11 @@
     read(
         first ->
             timer.after(
-                ShardLog.LEASE.plus(MARGIN),
+                first
+                    .flatMap(ShardLease::decode)
+                    .map(LeaseRecord::duration)
+                    .orElse(ShardLog.LONGEST_LEASE)
+                    .plus(MARGIN),
                 () ->
                     read(
                         second -> {
@@ -151,7 +155,8 @@
             .flatMap(ShardLease::decode)
             .map(LeaseRecord::token)
             .orElse(stored.map(StoredRow::version).orElse(0L));
-    LeaseRecord taken = new LeaseRecord(token + 1, 0, ownAddress, ownIncarnation);
+    LeaseRecord taken =
+        new LeaseRecord(token + 1, 0, ownAddress, ownIncarnation, ShardLog.SHORTEST_LEASE);
     LeaseClock.Moment sentAt = clock.now();
     store.commit(
         new RowTransaction(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
@@ -27,11 +27,23 @@
  */
 final class ShardLog {
 
-  /** Time for which the owner may act after its last transaction was sent. */
-  static final Duration LEASE = Duration.ofSeconds(2);
+  /**
+   * Shortest time for which the owner may act after a transaction was sent. Bounds how long a shard
+   * whose owner is silent is without one.
+   */
+  static final Duration SHORTEST_LEASE = Duration.ofMillis(700);
+
+  /** Longest lease, for a store that is slow. */
+  static final Duration LONGEST_LEASE = Duration.ofSeconds(3);
+
+  /** A lease lasts for as many transactions, so that it is kept when the store is slow. */
+  private static final int TRANSACTIONS_PER_LEASE = 6;
 
-  /** A quarter of the lease: three renewals may fail before it expires. */
-  private static final Duration RENEWAL = LEASE.dividedBy(4);
+  /** Part of the remembered latency that one transaction forgets. */
+  private static final double LATENCY_DECAY = 0.1;
+
+  /** Renewals per lease: three may fail before it expires. */
+  private static final int RENEWALS_PER_LEASE = 4;
 
   /** The store's limit on the entries of a transaction. */
   private static final int MAX_ENTRIES = 100;
@@ -57,6 +69,8 @@
   private LeaseRecord lease;
   private long leaseVersion;
   private LeaseClock.Moment confirmed;
+  private Duration confirmedDuration;
+  private Duration latency = Duration.ZERO;
   private List<CommitEntry> batch;
   private boolean mayHaveBeenApplied;
   private boolean renewalDue;
@@ -92,8 +106,9 @@
     this.lease = lease;
     this.leaseVersion = leaseVersion;
     this.confirmed = takenAt;
+    this.confirmedDuration = lease.duration();
     this.leaseLost = leaseLost;
-    timer.after(RENEWAL, this::renewIfIdle);
+    timer.after(renewalPeriod(), this::renewIfIdle);
   }
 
   /** Commits an entry with the next transaction. */
@@ -110,7 +125,14 @@
 
   /** Returns whether the owner may still act on the shard. */
   boolean leaseValid() {
-    return !closed && clock.since(confirmed).compareTo(LEASE) < 0;
+    // The last attempt may have been applied although its answer is missing.
+    Duration duration = shorter(confirmedDuration, lease.duration());
+    return !closed && clock.since(confirmed).compareTo(duration) < 0;
+  }
+
+  /** Returns whether nothing can be committed any more. */
+  boolean closed() {
+    return closed;
   }
 
   /** Returns whether the last transactions were answered. */
@@ -141,11 +163,27 @@
     if (closed) {
       return;
     }
-    if (clock.since(confirmed).compareTo(RENEWAL) >= 0) {
+    if (clock.since(confirmed).compareTo(renewalPeriod()) >= 0) {
       renewalDue = true;
       pump();
     }
-    timer.after(RENEWAL.dividedBy(2), this::renewIfIdle);
+    timer.after(renewalPeriod(), this::renewIfIdle);
+  }
+
+  private Duration renewalPeriod() {
+    return lease.duration().dividedBy(RENEWALS_PER_LEASE);
+  }
+
+  /** Returns how long the next lease is to last. */
+  private Duration nextDuration() {
+    Duration wanted = latency.multipliedBy(TRANSACTIONS_PER_LEASE);
+    return wanted.compareTo(SHORTEST_LEASE) < 0 ? SHORTEST_LEASE : shorter(wanted, LONGEST_LEASE);
+  }
+
+  private void observeLatency(LeaseClock.Moment sentAt) {
+    Duration observed = clock.since(sentAt);
+    Duration decayed = Duration.ofNanos((long) (latency.toNanos() * (1 - LATENCY_DECAY)));
+    latency = observed.compareTo(decayed) > 0 ? observed : decayed;
   }
 
   private void pump() {
@@ -159,8 +197,8 @@
       batch = nextBatch();
       lease =
           releasing && waiting.isEmpty() && batch.isEmpty()
-              ? lease.released(lease.sequence() + 1)
-              : lease.withSequence(lease.sequence() + 1);
+              ? lease.released()
+              : lease.renewed(nextDuration());
     }
     send();
   }
@@ -200,6 +238,7 @@
         timeout,
         outcome -> {
           calling = false;
+          observeLatency(sentAt);
           if (!closed) {
             receive(outcome, sentAt);
           }
@@ -218,6 +257,7 @@
   private void applied(long version, LeaseClock.Moment sentAt) {
     leaseVersion = version;
     confirmed = sentAt;
+    confirmedDuration = lease.duration();
     answered();
     List<CommitEntry> done = batch;
     batch = null;
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
@@ -0,0 +1,113 @@
+package org.lovagerack.fleet.shard;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.job.SubmittedJob;
+import org.lovagerack.fleet.store.ReadOutcome;
+import org.lovagerack.fleet.store.RowStore;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.foundation.timer.TimerService;
+
+/** Reads the jobs that earlier owners accepted and that have not ended. */
+final class ShardRecovery {
+
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration READ_RETRY = Duration.ofMillis(100);
+
+  private static final EventLog LOG = new EventLog(ShardRecovery.class);
+
+  private final TimerService timer;
+  private final RowStore store;
+  private final ShardRows rows;
+  private final long token;
+  private final BooleanSupplier cancelled;
+
+  /**
+   * Creates a recovery.
+   *
+   * @param token token of the present owner
+   * @param cancelled whether the result is of no use any more
+   */
+  ShardRecovery(
+      TimerService timer, RowStore store, ShardRows rows, long token, BooleanSupplier cancelled) {
+    this.timer = timer;
+    this.store = store;
+    this.rows = rows;
+    this.token = token;
+    this.cancelled = cancelled;
+  }
+
+  /** Reads all jobs; repeats what fails until it succeeds. */
+  void read(Consumer<List<Job>> callback) {
+    List<StoredRow> jobRows = new ArrayList<>();
+    readAll(
+        rows.jobTable(),
+        "",
+        jobRows,
+        () -> {
+          List<StoredRow> progressRows = new ArrayList<>();
+          readAll(
+              rows.progressTable(),
+              "",
+              progressRows,
+              () -> callback.accept(decode(jobRows, progressRows)));
+        });
+  }
+
+  private void readAll(String table, String from, List<StoredRow> found, Runnable next) {
+    store.read(
+        table,
+        rows.partition(),
+        from,
+        RowStore.PAGE,
+        READ_TIMEOUT,
+        outcome -> {
+          if (cancelled.getAsBoolean()) {
+            return;
+          }
+          if (outcome instanceof ReadOutcome.Rows page) {
+            found.addAll(page.rows());
+            if (page.more()) {
+              readAll(table, page.rows().getLast().key().key() + '\0', found, next);
+            } else {
+              next.run();
+            }
+          } else {
+            LOG.write(LogEvent.PLATFORM_UNAVAILABLE, "table", table, "outcome", outcome);
+            timer.after(READ_RETRY, () -> readAll(table, from, found, next));
+          }
+        });
+  }
+
+  private List<Job> decode(List<StoredRow> jobRows, List<StoredRow> progressRows) {
+    Map<String, Job> jobs = new HashMap<>();
+    for (StoredRow row : jobRows) {
+      try {
+        SubmittedJob submitted = JobCodec.decodeJob(row.value());
+        jobs.put(submitted.id(), new Job(submitted, timer.nanoTime(), token, true));
+      } catch (MalformedRecordException e) {
+        LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
+      }
+    }
+    for (StoredRow row : progressRows) {
+      Job job = jobs.get(row.key().key());
+      if (job != null) {
+        try {
+          job.restore(JobCodec.decodeProgress(row.value()));
+        } catch (MalformedRecordException e) {
+          LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
+        }
+      }
+    }
+    return List.copyOf(jobs.values());
+  }
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/TenureCounters.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/TenureCounters.java
@@ -13,6 +13,9 @@
   /** A job was refused. */
   void refused(ErrorKind kind);
 
+  /** A job was ended because nobody waits for it. */
+  void abandoned();
+
   /** The first task of a job has started, the given time after its acceptance. */
   void startDelay(Duration delay);
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -31,18 +32,22 @@
  */
 final class WorkerLink {
 
+  /**
+   * What becomes of a run that an earlier owner started.
+   *
+   * @param goesOn whether the run is kept
+   * @param resources resources of the run, as far as they are known
+   */
+  record Found(boolean goesOn, Resources resources) {}
+
   /** Receives what happens to runs. */
   interface Listener {
 
     /** The worker has reported for the first time under this owner. */
     void joined(WorkerLink link);
 
-    /**
-     * A run is at work that this link did not start.
-     *
-     * @return resources of the run if it is to go on; null to stop it
-     */
-    Resources found(WorkerLink link, TaskRun run);
+    /** A run is at work that this link did not start. */
+    Found found(WorkerLink link, TaskRun run);
 
     /** A run has ended; its receipt must be settled once the end is durable or does not matter. */
     void ended(WorkerLink link, RunEnd end, EndReceipt receipt, Duration ranFor);
@@ -59,8 +64,8 @@
     /** The worker has more room than before. */
     void roomGained(WorkerLink link);
 
-    /** Returns whether the owner may still extend leases and start tasks. */
-    boolean mayAct();
+    /** Returns whether the owner may still extend the lease of the worker's runs. */
+    boolean mayExtend(WorkerLink link);
   }
 
   /** Ends that one report lists at most. */
@@ -144,8 +149,14 @@
     return runs.isEmpty();
   }
 
-  boolean listed() {
-    return listed;
+  /** Returns whether the worker counts towards the capacity of its service. */
+  boolean serving() {
+    return joined && !suspect && listed && !entry.draining();
+  }
+
+  /** Returns the runs that are ordered, at work, or cannot be excluded yet. */
+  Set<TaskRun> runs() {
+    return Collections.unmodifiableSet(runs.keySet());
   }
 
   /** Returns the resources that are free for tasks; nothing while the worker takes none. */
@@ -154,11 +165,7 @@
   }
 
   boolean acceptsTasks() {
-    return joined
-        && !suspect
-        && listed
-        && !entry.draining()
-        && timer.nanoTime() - avoidUntilNanos >= 0;
+    return serving() && timer.nanoTime() - avoidUntilNanos >= 0;
   }
 
   int runsOfStep(String jobId, int step) {
@@ -217,6 +224,15 @@
     requestReport();
   }
 
+  /** Tells the resources of a run that was found at work. */
+  void adopt(TaskRun run, Resources resources) {
+    ActiveRun active = runs.get(run);
+    if (active != null) {
+      used = used.minus(active.resources).plus(resources);
+      active.resources = resources;
+    }
+  }
+
   /** Stops a run; its end is reported like any other. */
   void stop(TaskRun run) {
     ActiveRun active = runs.get(run);
@@ -334,7 +350,7 @@
     }
     reporting = true;
     reportRequested = false;
-    boolean extend = joined && !suspect && !runs.isEmpty() && listener.mayAct();
+    boolean extend = joined && !suspect && !runs.isEmpty() && listener.mayExtend(this);
     OptionalLong deadline =
         extend
             ? OptionalLong.of(workerClock() + bounds.longestWorkerLease().toMillis())
@@ -458,14 +474,13 @@
   }
 
   private void meet(TaskRun run) {
-    Resources resources = listener.found(this, run);
-    ActiveRun active =
-        new ActiveRun(resources == null ? Resources.NONE : resources, timer.nanoTime());
+    Found found = listener.found(this, run);
+    ActiveRun active = new ActiveRun(found.resources(), timer.nanoTime());
     active.confirmed = true;
     active.confirmedNanos = timer.nanoTime();
     runs.put(run, active);
     used = used.plus(active.resources);
-    if (resources == null) {
+    if (!found.goesOn()) {
       stop(run);
     }
   }
@@ -519,7 +534,7 @@
   }
 
   private static final class ActiveRun {
-    private final Resources resources;
+    private Resources resources;
     private final long orderedNanos;
     private boolean confirmed;
     private long confirmedNanos;
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -0,0 +1,107 @@
+package org.lovagerack.fleet.shard;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.lovagerack.fleet.worker.WorkerCalls;
+import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerId;
+import org.lovagerack.foundation.timer.TimerService;
+
+/** The links to all workers that the directory lists, or that may still run something. */
+final class WorkerLinks {
+
+  private final TimerService timer;
+  private final WorkerCalls calls;
+  private final WorkerDirectory directory;
+  private final FleetBounds bounds;
+  private final long token;
+  private final WorkerLink.Listener listener;
+  private final Runnable changed;
+  private final Map<String, WorkerLink> links = new TreeMap<>();
+  private final Consumer<WorkerId> directoryListener = this::directoryChanged;
+  private boolean opened;
+
+  /**
+   * Creates the links of a tenure; nothing is sent before {@link #open}.
+   *
+   * @param changed told after each change of the directory
+   */
+  WorkerLinks(
+      TimerService timer,
+      WorkerCalls calls,
+      WorkerDirectory directory,
+      FleetBounds bounds,
+      long token,
+      WorkerLink.Listener listener,
+      Runnable changed) {
+    this.timer = timer;
+    this.calls = calls;
+    this.directory = directory;
+    this.bounds = bounds;
+    this.token = token;
+    this.listener = listener;
+    this.changed = changed;
+  }
+
+  /** Asks all workers for their first report, and those that come later at once. */
+  void open() {
+    opened = true;
+    directory.addListener(directoryListener);
+    directory.entries().forEach(this::add);
+  }
+
+  void close() {
+    directory.removeListener(directoryListener);
+    links.values().forEach(WorkerLink::close);
+  }
+
+  Collection<WorkerLink> all() {
+    return List.copyOf(links.values());
+  }
+
+  /** Returns whether every worker has reported under the token. */
+  boolean allJoined() {
+    return opened && !links.isEmpty() && links.values().stream().allMatch(WorkerLink::joined);
+  }
+
+  /** Returns the cores of the workers that take tasks of a service, weighted by their speeds. */
+  double capacity(String service, WorkerSpeeds speeds) {
+    double cores = 0;
+    for (WorkerLink link : links.values()) {
+      if (link.entry().service().equals(service) && link.serving()) {
+        cores += link.entry().capacity().cpuMillicores() / 1000.0 * speeds.speed(link.id());
+      }
+    }
+    return cores;
+  }
+
+  private void directoryChanged(WorkerId id) {
+    Optional<WorkerEntry> entry = directory.find(id);
+    WorkerLink link = links.get(id.value());
+    if (entry.isPresent() && link == null) {
+      add(entry.get());
+    } else if (entry.isPresent()) {
+      link.update(entry.get());
+    } else if (link != null) {
+      link.unlisted();
+      if (link.idle()) {
+        link.close();
+        links.remove(id.value());
+      }
+    }
+    changed.run();
+  }
+
+  private void add(WorkerEntry entry) {
+    if (!links.containsKey(entry.id().value())) {
+      WorkerLink link = new WorkerLink(timer, calls, bounds, token, entry, listener);
+      links.put(entry.id().value(), link);
+      link.open();
+    }
+  }
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
@@ -46,18 +46,21 @@
   private final String table;
   private final List<String> partitions;
   private final Duration wait;
+  private final Duration pause;
   private final Listener listener;
   private final Map<RowKey, Long> versions = new HashMap<>();
   private long newestVersion;
   private Duration retry = FIRST_RETRY;
   private boolean unavailable;
   private boolean running;
+  private int generation;
 
   /**
    * Creates a follower that does nothing until {@link #start}.
    *
    * @param partitions partitions of the table
    * @param wait longest time that one call waits for a change
+   * @param pause time between two calls, which bounds the calls for a table that changes often
    */
   public TableFollower(
       TimerService timer,
@@ -65,18 +68,21 @@
       String table,
       List<String> partitions,
       Duration wait,
+      Duration pause,
       Listener listener) {
     this.timer = timer;
     this.store = store;
     this.table = table;
     this.partitions = List.copyOf(partitions);
     this.wait = wait;
+    this.pause = pause;
     this.listener = listener;
   }
 
   /** Starts following. */
   public void start() {
     running = true;
+    generation++;
     load();
   }
 
@@ -90,13 +96,11 @@
   }
 
   private void loadPage(int partition, String from, Loading loading) {
-    if (!running) {
-      return;
-    }
     if (partition == partitions.size()) {
       finishLoad(loading);
       return;
     }
+    int startedIn = generation;
     store.read(
         table,
         partitions.get(partition),
@@ -104,7 +108,7 @@
         RowStore.PAGE,
         READ_TIMEOUT,
         outcome -> {
-          if (!running) {
+          if (!running || generation != startedIn) {
             return;
           }
           switch (outcome) {
@@ -145,15 +149,13 @@
   }
 
   private void watch() {
-    if (!running) {
-      return;
-    }
+    int startedIn = generation;
     store.feed(
         table,
         newestVersion,
         wait,
         outcome -> {
-          if (!running) {
+          if (!running || generation != startedIn) {
             return;
           }
           switch (outcome) {
@@ -161,7 +163,7 @@
               answered();
               rows.rows().forEach(this::apply);
               newestVersion = Math.max(newestVersion, rows.version());
-              watch();
+              next(this::watch);
             }
             case ReadOutcome.HistoryGone gone -> load();
             case ReadOutcome.Unavailable failure -> retryLater(failure.reason(), this::watch);
@@ -169,6 +171,21 @@
         });
   }
 
+  private void next(Runnable action) {
+    if (pause.isZero()) {
+      action.run();
+    } else {
+      int startedIn = generation;
+      timer.after(pause, () -> runIn(startedIn, action));
+    }
+  }
+
+  private void runIn(int startedIn, Runnable action) {
+    if (running && generation == startedIn) {
+      action.run();
+    }
+  }
+
   private void apply(StoredRow row) {
     if (row.version() <= versions.getOrDefault(row.key(), 0L)) {
       return;
@@ -196,7 +213,8 @@
       unavailable = true;
       LOG.write(LogEvent.PLATFORM_UNAVAILABLE, "table", table, "reason", reason);
     }
-    timer.after(retry, action);
+    int startedIn = generation;
+    timer.after(retry, () -> runIn(startedIn, action));
     retry =
         retry.multipliedBy(2).compareTo(LONGEST_RETRY) < 0 ? retry.multipliedBy(2) : LONGEST_RETRY;
   }
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -21,6 +21,7 @@
   JOB_ENDED(2103, Severity.INFO, "job ended"),
   REQUEST_REJECTED(2104, Severity.INFO, "request of a client rejected"),
   REQUEST_UNRESOLVED(2105, Severity.WARN, "request of a client ended without a known outcome"),
+  JOB_ABANDONED(2106, Severity.INFO, "job ended because nobody waits for it"),
   TASK_STARTED(2111, Severity.INFO, "task started"),
   TASK_ENDED(2112, Severity.INFO, "task ended"),
   RUN_FOUND(2113, Severity.INFO, "run of an earlier owner found at work"),
--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -14,6 +14,8 @@
 import org.lovagerack.eventloop.HttpCaller;
 import org.lovagerack.fleet.configuration.ConfigurationHolder;
 import org.lovagerack.fleet.entry.JobRouter;
+import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.shard.EntryContacts;
 import org.lovagerack.fleet.shard.FleetBounds;
 import org.lovagerack.fleet.shard.LeaseClock;
 import org.lovagerack.fleet.shard.OwnedShardFactory;
@@ -21,6 +23,7 @@
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.store.TableFollower;
 import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.fleet.worker.WorkerFeed;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
@@ -44,7 +47,11 @@
   /** One report that waits, and starts beside it. */
   private static final int WORKER_CONNECTIONS = 4;
 
-  private static final int PEER_CONNECTIONS = 16;
+  /** Each job that an owner works on holds a connection until it is answered. */
+  private static final int PEER_CONNECTIONS = 512;
+
+  /** Workers renew their entries all the time; a leaving one must be seen within two seconds. */
+  private static final Duration WORKER_PAUSE = Duration.ofMillis(400);
 
   /**
    * Longest wait of one call that follows a table; with its grace below the time after which the
@@ -52,8 +59,8 @@
    */
   private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
 
-  /** Part of the time for a stop after which connections are closed. */
-  private static final double CONNECTIONS_OPEN = 0.7;
+  /** Left between the last answers and the end of the process. */
+  private static final Duration LAST_MOMENTS = Duration.ofMillis(700);
 
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
@@ -66,11 +73,9 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final JobRouter router;
   private final TableFollower configurationFollower;
-  private final TableFollower workerFollower;
   private final ClientInterface clients;
   private final PeerServer peers;
   private HttpServer clientServer;
-  private boolean workersKnown;
   private boolean stopping;
 
   EntryNode(
@@ -85,7 +90,6 @@
     TableStore store =
         new TableStore(new HttpCaller(vertx, STORE_CONNECTIONS), settings.storeAddress());
     WorkerDirectory directory = new WorkerDirectory();
-    WorkerEntries entries = new WorkerEntries(directory);
     configurationFollower =
         new TableFollower(
             timer,
@@ -93,16 +97,22 @@
             ConfigurationRows.TABLE,
             List.of(""),
             FOLLOW_WAIT,
+            Duration.ZERO,
             new ConfigurationRows(configuration));
-    workerFollower =
-        new TableFollower(
-            timer,
-            store,
-            WorkerEntries.TABLE,
-            List.of(""),
-            FOLLOW_WAIT,
-            new LoadedListener(entries, () -> workersKnown = true));
+    WorkerFeed workers =
+        new WorkerFeed(
+            directory,
+            new TableFollower(
+                timer,
+                store,
+                WorkerEntries.TABLE,
+                List.of(""),
+                FOLLOW_WAIT,
+                WORKER_PAUSE,
+                new WorkerEntries(directory)));
+    EntryId self = new EntryId(incarnation);
     LeaseClock clock = new LeaseClock(timer, System::currentTimeMillis);
+    EntryContacts contacts = new EntryContacts(clock, self);
     OwnedShardFactory factory =
         new OwnedShardFactory(
             timer,
@@ -110,7 +120,8 @@
             clock,
             store,
             new WorkerClient(new HttpCaller(vertx, WORKER_CONNECTIONS)),
-            directory,
+            workers,
+            contacts,
             configuration,
             new FleetBounds(
                 settings.longestWorkerLease(), settings.cancelWithin(), settings.statusRetention()),
@@ -130,9 +141,13 @@
             .toList();
     router =
         new JobRouter(
-            timer, random, store, new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS)), leases);
-    clients = new ClientInterface(vertx, configuration, router, () -> stopping);
-    peers = new PeerServer(router, incarnation);
+            timer,
+            random,
+            store,
+            new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS), self),
+            leases);
+    clients = new ClientInterface(timer, configuration, router, self);
+    peers = new PeerServer(router, contacts, incarnation);
   }
 
   /** Opens the ports and starts to follow the store. */
@@ -145,7 +160,6 @@
             server -> {
               clientServer = server;
               configurationFollower.start();
-              workerFollower.start();
               router.start();
               return null;
             });
@@ -158,21 +172,23 @@
 
   /**
    * Stops as planned: gives the shards up, goes on serving open connections while clients move to
-   * other VMs, and then closes them when they are idle.
+   * other VMs, and answers what is still open at the end.
    */
   Future<Void> stop() {
     Promise<Void> stopped = Promise.promise();
     stopping = true;
-    Duration open = Duration.ofMillis((long) (settings.stopWithin().toMillis() * CONNECTIONS_OPEN));
-    Duration closing = settings.stopWithin().minus(open).dividedBy(2);
+    Duration serving = settings.stopWithin().minus(LAST_MOMENTS);
+    clients.stopAfter(serving);
     LOG.write(LogEvent.DRAIN_STARTED, "shards", router.ownedShards());
     router.retire(() -> LOG.write(LogEvent.DRAIN_FINISHED));
     timer.after(
-        open,
-        () ->
-            clientServer
-                .shutdown(closing.toMillis(), TimeUnit.MILLISECONDS)
-                .onComplete(ignored -> stopped.complete()));
+        serving,
+        () -> {
+          clients.finish();
+          clientServer
+              .shutdown(LAST_MOMENTS.toMillis() / 2, TimeUnit.MILLISECONDS)
+              .onComplete(ignored -> stopped.complete());
+        });
     return stopped.future();
   }
 
@@ -186,8 +202,7 @@
   }
 
   private void readiness(HttpServerRequest request) {
-    boolean ready =
-        !stopping && workersKnown && configuration.inForce().isPresent() && router.ready();
+    boolean ready = !stopping && configuration.inForce().isPresent() && router.ready();
     request.response().setStatusCode(ready ? OK : UNAVAILABLE).end();
   }
 
--- a/node/src/main/java/org/lovagerack/node/NodeMetrics.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMetrics.java
@@ -26,6 +26,11 @@
     registry.counter("jobs_refused{kind=\"" + kind.wireName() + "\"}").inc();
   }
 
+  @Override
+  public void abandoned() {
+    registry.counter("jobs_abandoned").inc();
+  }
+
   @Override
   public void startDelay(Duration delay) {
     startDelay.update(delay.toMillis());
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -4,16 +4,17 @@
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.lovagerack.eventloop.HttpCaller;
 import org.lovagerack.eventloop.HttpReply;
-import org.lovagerack.fleet.configuration.Queue;
 import org.lovagerack.fleet.entry.PeerCalls;
+import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobService;
-import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.job.SubmittedJob;
 import org.lovagerack.foundation.error.ErrorKind;
 
@@ -28,10 +29,16 @@
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final HttpCaller caller;
-
-  /** Creates a client. */
-  public PeerClient(HttpCaller caller) {
+  private final EntryId self;
+
+  /**
+   * Creates a client.
+   *
+   * @param self this process
+   */
+  public PeerClient(HttpCaller caller, EntryId self) {
     this.caller = caller;
+    this.self = self;
   }
 
   @Override
@@ -62,8 +69,12 @@
     return new RemoteJobs(address, incarnation);
   }
 
-  private static Map<String, String> headers(long incarnation) {
-    return Map.of(PeerProtocol.INCARNATION_HEADER, Long.toString(incarnation));
+  private Map<String, String> headers(long incarnation) {
+    return Map.of(
+        PeerProtocol.INCARNATION_HEADER,
+        Long.toString(incarnation),
+        PeerProtocol.ENTRY_HEADER,
+        Long.toString(self.incarnation()));
   }
 
   private final class RemoteJobs implements JobService {
@@ -76,17 +87,33 @@
     }
 
     @Override
-    public void submit(
-        String jobId, Queue queue, JobSpec spec, Duration patience, Consumer<JobAnswer> callback) {
-      Buffer body =
-          Buffer.buffer(JobCodec.encode(new SubmittedJob(jobId, queue, 0, spec)).toByteArray());
-      Map<String, String> headers =
-          Map.of(
-              PeerProtocol.INCARNATION_HEADER,
-              Long.toString(incarnation),
-              PeerProtocol.PATIENCE_HEADER,
-              Long.toString(patience.toMillis()));
-      call(HttpMethod.PUT, PeerProtocol.JOBS_PATH + jobId, headers, body, patience, callback);
+    public void submit(Submission submission, Consumer<JobAnswer> callback) {
+      Map<String, String> headers = new HashMap<>(headers(incarnation));
+      headers.put(PeerProtocol.PATIENCE_HEADER, Long.toString(submission.patience().toMillis()));
+      call(
+          HttpMethod.PUT,
+          PeerProtocol.JOBS_PATH + submission.jobId(),
+          headers,
+          body(submission),
+          submission.patience(),
+          callback);
+    }
+
+    @Override
+    public void abandon(Submission submission) {
+      call(
+          HttpMethod.POST,
+          PeerProtocol.JOBS_PATH + submission.jobId() + PeerProtocol.ABANDON_SUFFIX,
+          headers(incarnation),
+          body(submission),
+          QUERY_TIMEOUT,
+          answer -> {});
+    }
+
+    private static Buffer body(Submission submission) {
+      SubmittedJob job =
+          new SubmittedJob(submission.jobId(), submission.queue(), 0, submission.spec());
+      return Buffer.buffer(JobCodec.encode(job).toByteArray());
     }
 
     @Override
--- a/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
@@ -21,6 +21,12 @@
   /** Incarnation of the process that a call is meant for. */
   static final String INCARNATION_HEADER = "Lovagerack-Incarnation";
 
+  /** Incarnation of the process that calls. */
+  static final String ENTRY_HEADER = "Lovagerack-Entry";
+
+  /** Ends the wait of an entry VM for a job of best effort. */
+  static final String ABANDON_SUFFIX = "/abandon";
+
   /** How long the caller's client waits, milliseconds. */
   static final String PATIENCE_HEADER = "Lovagerack-Patience-Millis";
 
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -7,28 +7,42 @@
 import java.util.Iterator;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.entry.JobRouter;
+import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.job.SubmittedJob;
+import org.lovagerack.fleet.shard.EntryContacts;
 import org.lovagerack.foundation.data.Bytes;
 import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
 
 /** Answers calls of other entry VMs for the shards that this process owns. */
 public final class PeerServer {
 
+  private static final EventLog LOG = new EventLog(PeerServer.class);
+
   private static final int NOT_FOUND = 404;
 
   /** The caller looks for the new owner in the meantime. */
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final JobRouter router;
+  private final EntryContacts contacts;
   private final long incarnation;
 
-  /** Creates a server. */
-  public PeerServer(JobRouter router, long incarnation) {
+  /**
+   * Creates a server.
+   *
+   * @param contacts is told of every caller
+   * @param incarnation random number of this process
+   */
+  public PeerServer(JobRouter router, EntryContacts contacts, long incarnation) {
     this.router = router;
+    this.contacts = contacts;
     this.incarnation = incarnation;
   }
 
@@ -38,12 +52,14 @@
       request.response().setStatusCode(PeerProtocol.MISDIRECTED).end();
       return;
     }
+    EntryId entry = new EntryId(number(request, PeerProtocol.ENTRY_HEADER));
+    contacts.heard(entry);
     String path = request.path();
     Consumer<JobAnswer> answer = given -> request.response().end(PeerProtocol.encode(given));
     if (path.equals(PeerProtocol.PROCESS_PATH)) {
       request.response().end();
     } else if (path.startsWith(PeerProtocol.JOBS_PATH)) {
-      call(request, path.substring(PeerProtocol.JOBS_PATH.length()), answer);
+      call(request, entry, path.substring(PeerProtocol.JOBS_PATH.length()), answer);
     } else if (path.startsWith(PeerProtocol.QUEUES_PATH)) {
       String queue = path.substring(PeerProtocol.QUEUES_PATH.length());
       sumPending(router.ownShards().iterator(), queue, 0, answer);
@@ -52,31 +68,69 @@
     }
   }
 
-  private void call(HttpServerRequest request, String jobId, Consumer<JobAnswer> answer) {
+  private void call(
+      HttpServerRequest request, EntryId entry, String path, Consumer<JobAnswer> answer) {
     if (request.method().equals(HttpMethod.PUT)) {
       Duration patience = patience(request);
-      request.body().onSuccess(body -> submit(jobId, body, patience, answer));
+      request
+          .body()
+          .onSuccess(
+              body ->
+                  withSubmission(
+                      body,
+                      patience,
+                      entry,
+                      answer,
+                      submission ->
+                          own(
+                              submission.jobId(),
+                              answer,
+                              jobs -> jobs.submit(submission, answer))));
+    } else if (path.endsWith(PeerProtocol.ABANDON_SUFFIX)) {
+      request
+          .body()
+          .onSuccess(
+              body ->
+                  withSubmission(
+                      body,
+                      Duration.ZERO,
+                      entry,
+                      answer,
+                      submission -> {
+                        router
+                            .ownJobs(submission.jobId())
+                            .ifPresent(jobs -> jobs.abandon(submission));
+                        answer.accept(new JobAnswer.Cancelled());
+                      }));
     } else if (request.method().equals(HttpMethod.DELETE)) {
-      own(jobId, answer, jobs -> jobs.cancel(jobId, answer));
+      own(path, answer, jobs -> jobs.cancel(path, answer));
     } else {
-      own(jobId, answer, jobs -> jobs.state(jobId, answer));
+      own(path, answer, jobs -> jobs.state(path, answer));
     }
   }
 
   private static Duration patience(HttpServerRequest request) {
-    String millis = request.getHeader(PeerProtocol.PATIENCE_HEADER);
-    return millis == null ? Duration.ZERO : Duration.ofMillis(Long.parseLong(millis));
+    return Duration.ofMillis(number(request, PeerProtocol.PATIENCE_HEADER));
+  }
+
+  private static long number(HttpServerRequest request, String header) {
+    String value = request.getHeader(header);
+    return value != null && value.matches("-?\\d{1,19}") ? Long.parseLong(value) : 0;
   }
 
-  private void submit(String jobId, Buffer body, Duration patience, Consumer<JobAnswer> answer) {
-    SubmittedJob job;
+  private static void withSubmission(
+      Buffer body,
+      Duration patience,
+      EntryId entry,
+      Consumer<JobAnswer> answer,
+      Consumer<Submission> action) {
     try {
-      job = JobCodec.decodeJob(Bytes.copyOf(body.getBytes()));
+      SubmittedJob job = JobCodec.decodeJob(Bytes.copyOf(body.getBytes()));
+      action.accept(new Submission(job.id(), job.queue(), job.spec(), patience, entry));
     } catch (MalformedRecordException e) {
+      LOG.write(LogEvent.REQUEST_REJECTED, e, "entry", entry);
       answer.accept(new JobAnswer.Refused(ErrorKind.MALFORMED_REQUEST, Duration.ZERO));
-      return;
     }
-    own(jobId, answer, jobs -> jobs.submit(jobId, job.queue(), job.spec(), patience, answer));
   }
 
   private void own(String jobId, Consumer<JobAnswer> answer, Consumer<JobService> call) {
