--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -7,13 +7,14 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.OwnedShardFactory;
 import org.lovagerack.fleet.shard.ShardLease;
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.store.RowKey;
-import org.lovagerack.fleet.store.RowStore;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.store.TableFollower;
 import org.lovagerack.foundation.error.ErrorKind;
@@ -29,6 +30,7 @@
   private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
 
   private final TimerService timer;
+  private final OwnedShardFactory parts;
   private final List<ShardSeat> seats;
   private final StoredJobs storedJobs;
   private final TableFollower owners;
@@ -36,31 +38,68 @@
   /**
    * Creates a router that does nothing until {@link #start}.
    *
-   * @param leases leases of all shards, in order of their numbers
+   * @param self this VM
+   * @param shards number of shards, the same on every VM
    */
   public JobRouter(
       TimerService timer,
       RandomGenerator random,
-      RowStore store,
       PeerCalls peers,
-      List<ShardLease> leases) {
+      OwnedShardFactory parts,
+      EntryVm self,
+      int shards) {
     this.timer = timer;
+    this.parts = parts;
     this.seats =
-        IntStream.range(0, leases.size())
-            .mapToObj(shard -> new ShardSeat(timer, random, peers, leases.get(shard), shard))
+        IntStream.range(0, shards)
+            .mapToObj(shard -> seat(timer, random, peers, parts, self, shard))
             .toList();
-    this.storedJobs = new StoredJobs(store);
+    this.storedJobs = new StoredJobs(parts.store());
     this.owners =
         new TableFollower(
             timer,
-            store,
+            parts.store(),
             ShardRows.OWNER_TABLE,
-            ShardRows.partitions(leases.size()),
+            ShardRows.partitions(shards),
             FOLLOW_WAIT,
             Duration.ZERO,
             new OwnerListener());
   }
 
+  private static ShardSeat seat(
+      TimerService timer,
+      RandomGenerator random,
+      PeerCalls peers,
+      OwnedShardFactory parts,
+      EntryVm self,
+      int shard) {
+    ShardRows rows = ShardRows.of(shard);
+    ShardLease lease =
+        new ShardLease(
+            timer,
+            parts.clock(),
+            parts.store(),
+            rows,
+            self.address(),
+            self.id().incarnation(),
+            parts);
+    return new ShardSeat(
+        timer, random, peers, lease, new IslandSeat(timer, peers, parts, rows, self), shard);
+  }
+
+  /** Returns what this process knows of the fleet. */
+  public FleetView view() {
+    return new FleetView(
+        viewVersion(),
+        List.copyOf(parts.workers().directory().entries()),
+        parts.contacts().entries());
+  }
+
+  /** Returns the version of the view. */
+  public long viewVersion() {
+    return parts.workers().directory().version() + parts.contacts().version();
+  }
+
   /** Starts to follow the owners, and to take shards that have none. */
   public void start() {
     owners.start();
@@ -91,15 +130,14 @@
     return seats.stream().filter(ShardSeat::owned).count();
   }
 
-  /** Returns the service for a shard that this process owns; empty if it does not own it. */
+  /** Returns the service of a job's shard if this process serves it. */
   public Optional<JobService> ownJobs(String jobId) {
-    ShardSeat seat = seat(jobId);
-    return seat.owned() ? seat.jobs() : Optional.empty();
+    return seat(jobId).ownJobs();
   }
 
-  /** Returns the services of the shards that this process owns. */
+  /** Returns the services of the shards that this process serves. */
   public List<JobService> ownShards() {
-    return seats.stream().filter(ShardSeat::owned).flatMap(seat -> seat.jobs().stream()).toList();
+    return seats.stream().flatMap(seat -> seat.ownJobs().stream()).toList();
   }
 
   @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/PeerCalls.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/PeerCalls.java
@@ -8,18 +8,27 @@
 public interface PeerCalls {
 
   /** What a probe tells about a process. */
-  enum Liveness {
-    /** The process answered. */
-    ALIVE,
-    /** Nothing listens at its address, or another process does. */
-    GONE,
-    /** There was no answer in time. */
-    SILENT
-  }
+  sealed interface Liveness {}
+
+  /**
+   * The process answered.
+   *
+   * @param viewVersion version of its view of the fleet
+   */
+  record Alive(long viewVersion) implements Liveness {}
+
+  /** Nothing listens at its address, or another process does. */
+  record Gone() implements Liveness {}
+
+  /** There was no answer in time. */
+  record Silent() implements Liveness {}
 
   /** Asks whether a process is alive. */
   void probe(String address, long incarnation, Duration timeout, Consumer<Liveness> callback);
 
+  /** Asks for a process's view of the fleet; calls back only if it answers. */
+  void view(String address, long incarnation, Duration timeout, Consumer<FleetView> callback);
+
   /**
    * Returns the job service of the process at an address. It answers {@code OWNER_UNREACHABLE} as a
    * refusal when the call was certainly not received.
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -1,7 +1,10 @@
 package org.lovagerack.fleet.entry;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
@@ -25,6 +28,9 @@
 
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(250);
 
+  /** Unanswered probes after which the owner counts as unreachable. */
+  private static final int CERTAINLY_UNANSWERED = 2;
+
   /** Spreads the attempts of several VMs to take one shard. */
   private static final Duration LONGEST_JITTER = Duration.ofMillis(60);
 
@@ -36,20 +42,29 @@
   private final RandomGenerator random;
   private final PeerCalls peers;
   private final ShardLease lease;
+  private final IslandSeat island;
   private final int shard;
+  private final Set<SubmissionRelay> relays = new LinkedHashSet<>();
   private LeaseRecord owner;
   private OwnedShard owned;
   private boolean loaded;
   private boolean taking;
   private boolean probing;
   private boolean retired;
+  private int unanswered;
 
   ShardSeat(
-      TimerService timer, RandomGenerator random, PeerCalls peers, ShardLease lease, int shard) {
+      TimerService timer,
+      RandomGenerator random,
+      PeerCalls peers,
+      ShardLease lease,
+      IslandSeat island,
+      int shard) {
     this.timer = timer;
     this.random = random;
     this.peers = peers;
     this.lease = lease;
+    this.island = island;
     this.shard = shard;
   }
 
@@ -69,7 +84,13 @@
     if (owner != null && stored.token() < owner.token()) {
       return;
     }
+    boolean replaced = owner == null || !stored.sameTenure(owner);
     owner = stored;
+    if (replaced) {
+      unanswered = 0;
+      island.reconnected();
+      ownerReplaced();
+    }
     LOG.write(
         LogEvent.SHARD_OWNER,
         "shard",
@@ -101,6 +122,10 @@
     if (owned != null) {
       return Optional.of(owned.jobs());
     }
+    Optional<JobService> cutOffJobs = island.jobs();
+    if (cutOffJobs.isPresent()) {
+      return cutOffJobs;
+    }
     if (owner == null || owner.vacant() || lease.isOwn(owner)) {
       return Optional.empty();
     }
@@ -111,9 +136,31 @@
     return owned != null;
   }
 
+  /** Returns the service of the shard if this process serves it, as its owner or on an island. */
+  Optional<JobService> ownJobs() {
+    return owned != null ? Optional.of(owned.jobs()) : island.ownJobs();
+  }
+
   /** Returns whether calls for the shard have somewhere to go. */
   boolean reachable() {
-    return owned != null ? owned.ready() : owner != null && !owner.vacant();
+    if (owned != null) {
+      return owned.ready();
+    }
+    boolean ownerAnswers = owner != null && !owner.vacant() && unanswered < CERTAINLY_UNANSWERED;
+    return ownerAnswers || island.jobs().isPresent();
+  }
+
+  /** Adds a submission that is under way, to be told when the owner is replaced. */
+  void addRelay(SubmissionRelay relay) {
+    relays.add(relay);
+  }
+
+  void removeRelay(SubmissionRelay relay) {
+    relays.remove(relay);
+  }
+
+  private void ownerReplaced() {
+    List.copyOf(relays).forEach(SubmissionRelay::ownerReplaced);
   }
 
   /** A call to the owner failed. */
@@ -157,23 +204,35 @@
         PROBE_TIMEOUT,
         liveness -> {
           probing = false;
-          if (owned != null || !probed.equals(owner) || retired) {
-            return;
-          }
-          switch (liveness) {
-            case ALIVE -> {}
-            case GONE -> {
-              LOG.write(LogEvent.OWNER_GONE, "shard", shard, "owner", probed.ownerAddress());
-              take();
-            }
-            case SILENT -> {
-              LOG.write(LogEvent.OWNER_SILENT, "shard", shard, "owner", probed.ownerAddress());
-              takeIfUnrenewed();
-            }
+          if (owned == null && probed.equals(owner) && !retired) {
+            probed(probed, liveness);
           }
         });
   }
 
+  private void probed(LeaseRecord target, PeerCalls.Liveness liveness) {
+    switch (liveness) {
+      case PeerCalls.Alive alive -> {
+        unanswered = 0;
+        island.reconnected();
+        if (alive.viewVersion() != island.view().version()) {
+          peers.view(
+              target.ownerAddress(), target.ownerIncarnation(), PROBE_TIMEOUT, island::learn);
+        }
+      }
+      case PeerCalls.Gone gone -> {
+        unanswered = CERTAINLY_UNANSWERED;
+        LOG.write(LogEvent.OWNER_GONE, "shard", shard, "owner", target.ownerAddress());
+        take();
+      }
+      case PeerCalls.Silent silent -> {
+        unanswered++;
+        LOG.write(LogEvent.OWNER_SILENT, "shard", shard, "owner", target.ownerAddress());
+        takeIfUnrenewed();
+      }
+    }
+  }
+
   private void takeIfUnrenewed() {
     if (taking) {
       return;
@@ -187,14 +246,15 @@
       return;
     }
     taking = true;
+    Optional<LeaseRecord> believed = Optional.ofNullable(owner);
     Duration jitter = Duration.ofNanos(random.nextLong(LONGEST_JITTER.toNanos()));
     timer.after(
         jitter,
         () -> {
-          if (retired || owned != null) {
+          if (retired || owned != null || !believed.equals(Optional.ofNullable(owner))) {
             taking = false;
           } else {
-            lease.take(Optional.ofNullable(owner), this::takeEnded);
+            lease.take(believed, this::takeEnded);
           }
         });
   }
@@ -207,6 +267,7 @@
           taken.shard().release(() -> {});
           return;
         }
+        island.reconnected();
         owned = taken.shard();
         owned.start(this::dropOwned);
         LOG.write(LogEvent.SHARD_TAKEN, "shard", shard, "token", owned.token());
@@ -214,7 +275,18 @@
       case ShardLease.HeldByOther other -> {
         if (owner == null || other.record().token() > owner.token()) {
           owner = other.record();
+          unanswered = 0;
+          island.reconnected();
+        }
+      }
+      case ShardLease.StoreUnreachable unreachable -> {
+        LOG.write(LogEvent.SHARD_NOT_TAKEN, "shard", shard, "reason", unreachable.reason());
+        if (unanswered >= CERTAINLY_UNANSWERED && owner != null) {
+          if (island.cutOff(owner.token())) {
+            ownerReplaced();
+          }
         }
+        timer.after(RETRY, this::checkOwner);
       }
       case ShardLease.Undecided undecided -> {
         LOG.write(LogEvent.SHARD_NOT_TAKEN, "shard", shard, "reason", undecided.reason());
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -12,8 +12,8 @@
 
 /**
  * Passes one submission to the owner of its shard, and again to the next owner if the first one
- * fails. A submission may be repeated because owners know a job by its identifier; it is given up
- * when the job could no longer be of use.
+ * fails or is replaced. A submission may be repeated because owners know a job by its identifier;
+ * it is given up when the job could no longer be of use.
  */
 final class SubmissionRelay {
 
@@ -33,11 +33,12 @@
 
   private final TimerService timer;
   private final ShardSeat seat;
-  private final Submission submission;
   private final Consumer<JobAnswer> callback;
   private final long startedNanos;
   private final Duration objective;
-  private boolean mayHaveBeenReceived;
+  private Submission submission;
+  private int attempt;
+  private boolean finished;
 
   SubmissionRelay(
       TimerService timer, ShardSeat seat, Submission submission, Consumer<JobAnswer> callback) {
@@ -49,32 +50,62 @@
     this.objective = Objective.of(submission.queue(), submission.spec());
   }
 
+  /** Makes the first attempt. */
   void start() {
+    seat.addRelay(this);
+    send();
+  }
+
+  /** The owner that the last attempt went to does not serve the shard any more. */
+  void ownerReplaced() {
+    if (!finished) {
+      submission = submission.asRepeated();
+      attempt++;
+      tryAgain(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+    }
+  }
+
+  private void send() {
+    if (finished) {
+      return;
+    }
     Optional<JobService> owner = seat.jobs();
     if (owner.isEmpty()) {
       tryAgain(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
       return;
     }
-    owner
-        .get()
-        .submit(
-            submission,
-            answer -> {
-              if (OwnerFailures.isOne(answer)) {
-                seat.suspectOwner();
-                mayHaveBeenReceived |= answer instanceof JobAnswer.Unresolved;
-                tryAgain(answer);
-              } else {
-                finish(answer);
-              }
-            });
+    int sentAs = attempt;
+    owner.get().submit(submission, answer -> receive(sentAs, answer));
+  }
+
+  private void receive(int sentAs, JobAnswer answer) {
+    boolean certain = answer instanceof JobAnswer.State || answer instanceof JobAnswer.Accepted;
+    if (finished || (sentAs != attempt && !certain)) {
+      return;
+    }
+    if (OwnerFailures.isOne(answer)) {
+      if (answer instanceof JobAnswer.Unresolved) {
+        submission = submission.asRepeated();
+      }
+      seat.suspectOwner();
+      tryAgain(answer);
+    } else {
+      finish(answer);
+    }
   }
 
   private void tryAgain(JobAnswer last) {
-    double patience = mayHaveBeenReceived ? USEFUL_OBJECTIVES : PATIENCE_WITHOUT_OWNER;
+    double patience = submission.repeated() ? USEFUL_OBJECTIVES : PATIENCE_WITHOUT_OWNER;
     long spentNanos = timer.nanoTime() - startedNanos;
     if (spentNanos + PAUSE.toNanos() < objective.toNanos() * patience) {
-      timer.after(PAUSE, this::start);
+      int waitingAs = attempt;
+      timer.after(
+          PAUSE,
+          () -> {
+            if (waitingAs == attempt) {
+              send();
+            }
+          });
     } else {
       finish(last);
     }
@@ -82,8 +113,10 @@
 
   /** An owner that refuses a job does not know whether an earlier one has started it. */
   private void finish(JobAnswer answer) {
+    finished = true;
+    seat.removeRelay(this);
     callback.accept(
-        mayHaveBeenReceived && answer instanceof JobAnswer.Refused
+        submission.repeated() && answer instanceof JobAnswer.Refused
             ? new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)
             : answer);
   }
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/EntryVm.java
@@ -0,0 +1,10 @@
+package org.lovagerack.fleet.job;
+
+/**
+ * An entry VM.
+ *
+ * @param id its process
+ * @param address IP number and port for other entry VMs
+ * @param failureDomain failure domain
+ */
+public record EntryVm(EntryId id, String address, String failureDomain) {}
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
 
 /**
  * When each entry VM was last heard from. A client whose entry VM is gone sends its job again,
@@ -20,7 +22,10 @@
 
   private final LeaseClock clock;
   private final EntryId self;
-  private final Map<EntryId, LeaseClock.Moment> heard = new HashMap<>();
+  private final Map<EntryId, Contact> contacts = new HashMap<>();
+  private long version;
+
+  private record Contact(EntryVm vm, LeaseClock.Moment heard) {}
 
   /**
    * Creates contacts.
@@ -33,18 +38,33 @@
   }
 
   /** Notes a call from an entry VM. */
-  public void heard(EntryId entry) {
-    heard.put(entry, clock.now());
+  public void heard(EntryVm vm) {
+    if (contacts.put(vm.id(), new Contact(vm, clock.now())) == null) {
+      version++;
+    }
+  }
+
+  /** Returns the entry VMs that have called and were not forgotten. */
+  public List<EntryVm> entries() {
+    return contacts.values().stream().map(Contact::vm).toList();
+  }
+
+  /** Returns a number that grows whenever {@link #entries} changes. */
+  public long version() {
+    return version;
   }
 
   /** Returns whether an entry VM was heard from a short time ago. */
   boolean inContact(EntryId entry) {
-    LeaseClock.Moment last = heard.get(entry);
-    return entry.equals(self) || (last != null && clock.since(last).compareTo(SILENCE) < 0);
+    Contact contact = contacts.get(entry);
+    return entry.equals(self)
+        || (contact != null && clock.since(contact.heard()).compareTo(SILENCE) < 0);
   }
 
   /** Forgets entry VMs that are silent. */
   void forgetSilent() {
-    heard.keySet().removeIf(entry -> !inContact(entry));
+    if (contacts.keySet().removeIf(entry -> !inContact(entry))) {
+      version++;
+    }
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -41,6 +41,7 @@
   private final SubmittedJob submitted;
   private final long acceptedNanos;
   private final boolean recovered;
+  private final boolean repeated;
   private final Duration estimatedChain;
   private final Duration objective;
   private final List<Task> tasks = new ArrayList<>();
@@ -53,10 +54,11 @@
   private boolean started;
   private boolean progressStored;
 
-  Job(SubmittedJob submitted, long acceptedNanos, long token, boolean recovered) {
+  Job(SubmittedJob submitted, long acceptedNanos, long token, boolean recovered, boolean repeated) {
     this.submitted = submitted;
     this.acceptedNanos = acceptedNanos;
     this.recovered = recovered;
+    this.repeated = repeated;
     this.estimatedChain = Objective.estimatedChain(submitted.spec());
     this.objective = Objective.of(submitted.queue(), submitted.spec());
     this.phase = recovered ? Phase.ACTIVE : Phase.STORING;
@@ -96,6 +98,11 @@
     return recovered;
   }
 
+  /** Returns whether an earlier owner may have received the job from the same entry VM. */
+  boolean repeated() {
+    return repeated;
+  }
+
   List<Task> tasks() {
     return tasks;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobEnds.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobEnds.java
@@ -35,7 +35,7 @@
 
   private final TimerService timer;
   private final LongSupplier wallMillis;
-  private final ShardLog log;
+  private final TenureLog log;
   private final ShardRows rows;
   private final JobBook book;
   private final EndedJobs ended;
@@ -44,7 +44,7 @@
   JobEnds(
       TimerService timer,
       LongSupplier wallMillis,
-      ShardLog log,
+      TenureLog log,
       ShardRows rows,
       JobBook book,
       EndedJobs ended,
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/LeaseRecord.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/LeaseRecord.java
@@ -12,6 +12,7 @@
 /**
  * The lease of a shard as it is stored.
  *
+ * @param tenure token that the store granted at the start of the tenure
  * @param token fencing token, which grows with every change of owner
  * @param sequence number of the transaction that wrote the record, unique under one token
  * @param ownerAddress address for calls from other entry VMs; empty if the owner gave the shard up
@@ -19,7 +20,12 @@
  * @param duration time for which the owner may act after it sent the transaction
  */
 public record LeaseRecord(
-    long token, long sequence, String ownerAddress, long ownerIncarnation, Duration duration) {
+    long tenure,
+    long token,
+    long sequence,
+    String ownerAddress,
+    long ownerIncarnation,
+    Duration duration) {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -30,20 +36,28 @@
 
   /** Returns whether the other record was written by the same owner during the same tenure. */
   public boolean sameTenure(LeaseRecord other) {
-    return token == other.token && ownerIncarnation == other.ownerIncarnation;
+    return tenure == other.tenure && ownerIncarnation == other.ownerIncarnation;
   }
 
   LeaseRecord renewed(Duration newDuration) {
-    return new LeaseRecord(token, sequence + 1, ownerAddress, ownerIncarnation, newDuration);
+    return new LeaseRecord(
+        tenure, token, sequence + 1, ownerAddress, ownerIncarnation, newDuration);
+  }
+
+  /** Returns the record with the next token that the store grants. */
+  LeaseRecord raised() {
+    return new LeaseRecord(
+        tenure, FencingTokens.next(token), sequence, ownerAddress, ownerIncarnation, duration);
   }
 
   LeaseRecord released() {
-    return new LeaseRecord(token, sequence + 1, "", ownerIncarnation, duration);
+    return new LeaseRecord(tenure, token, sequence + 1, "", ownerIncarnation, duration);
   }
 
   /** Returns the stored form. */
   public Bytes encode() {
     ObjectNode node = MAPPER.createObjectNode();
+    node.put("tenure", tenure);
     node.put("token", token);
     node.put("sequence", sequence);
     node.put("address", ownerAddress);
@@ -75,6 +89,7 @@
           "lease record without token, address or duration: " + node);
     }
     return new LeaseRecord(
+        node.path("tenure").asLong(),
         node.path("token").asLong(),
         node.path("sequence").asLong(),
         node.path("address").asText(),
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -8,7 +8,6 @@
 
   private final ShardLog log;
   private final ShardTenure tenure;
-  private final long token;
   private final WorkerFeed workers;
   private Runnable lost = () -> {};
 
@@ -18,7 +17,6 @@
       LeaseRecord lease,
       long leaseVersion,
       LeaseClock.Moment takenAt) {
-    this.token = lease.token();
     this.workers = parts.workers();
     this.log =
         new ShardLog(
@@ -30,7 +28,8 @@
             leaseVersion,
             takenAt,
             () -> lost.run());
-    this.tenure = new ShardTenure(parts, rows, log, lease.token());
+    this.tenure = new ShardTenure(parts, rows, log, parts.workers().directory());
+    log.onTokenRaised(tenure::tokenRaised);
   }
 
   /**
@@ -46,7 +45,7 @@
 
   /** Returns the fencing token. */
   public long token() {
-    return token;
+    return log.token();
   }
 
   /** Returns whether the jobs of earlier owners are known. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunNumbers.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunNumbers.java
@@ -7,7 +7,7 @@
 final class RunNumbers {
 
   /** Runs that one owner can start of the tasks of one job; a job has a few hundred at most. */
-  private static final int RUNS_PER_OWNER = 100_000;
+  private static final int RUNS_PER_OWNER = 10_000;
 
   private RunNumbers() {}
 
@@ -18,6 +18,9 @@
    * @param token token of the present owner
    */
   static int first(long acceptedByToken, long token) {
-    return Math.toIntExact(Math.max(0, token - acceptedByToken) * RUNS_PER_OWNER + 1);
+    return Math.toIntExact(
+        Math.max(0, FencingTokens.epoch(token) - FencingTokens.epoch(acceptedByToken))
+                * RUNS_PER_OWNER
+            + 1);
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.Resources;
 import org.lovagerack.fleet.job.TaskRun;
@@ -16,39 +18,43 @@
   private static final EventLog LOG = new EventLog(RunTracker.class);
 
   private final TimerService timer;
-  private final ShardLog log;
+  private final TenureLog log;
   private final JobBook book;
   private final JobEnds ends;
   private final RecoveryGate gate;
-  private final Orphans orphans = new Orphans();
+  private Orphans orphans = new Orphans();
+  private final Predicate<Job> fateUnknown;
   private final WorkerSpeeds speeds;
   private final Placer placer;
   private final TenureCounters counters;
-  private final long token;
+  private final LongSupplier token;
   private final Runnable workerJoined;
 
   /**
    * Creates a tracker.
    *
+   * @param fateUnknown whether an earlier owner's runs of a job may be at work unseen
    * @param token fencing token of the tenure
    * @param workerJoined told when a worker has reported for the first time
    */
   RunTracker(
       TimerService timer,
-      ShardLog log,
+      TenureLog log,
       JobBook book,
       JobEnds ends,
       RecoveryGate gate,
+      Predicate<Job> fateUnknown,
       WorkerSpeeds speeds,
       Placer placer,
       TenureCounters counters,
-      long token,
+      LongSupplier token,
       Runnable workerJoined) {
     this.timer = timer;
     this.log = log;
     this.book = book;
     this.ends = ends;
     this.gate = gate;
+    this.fateUnknown = fateUnknown;
     this.speeds = speeds;
     this.placer = placer;
     this.counters = counters;
@@ -58,7 +64,14 @@
 
   @Override
   public void joined(WorkerLink link) {
-    LOG.write(LogEvent.WORKER_JOINED, "worker", link.id(), "token", token, "entry", link.entry());
+    LOG.write(
+        LogEvent.WORKER_JOINED,
+        "worker",
+        link.id(),
+        "token",
+        token.getAsLong(),
+        "entry",
+        link.entry());
     workerJoined.run();
   }
 
@@ -75,7 +88,7 @@
         "worker",
         link.id(),
         "token",
-        token,
+        token.getAsLong(),
         "adopted",
         adopt,
         "kept",
@@ -107,6 +120,12 @@
     }
   }
 
+  /** Expects jobs of runs that are found from now on. */
+  void expectOrphans() {
+    stopOrphans();
+    orphans = new Orphans();
+  }
+
   /** Stops the runs whose jobs were not submitted again. */
   void stopOrphans() {
     for (Orphans.Orphan orphan : orphans.expire()) {
@@ -116,8 +135,8 @@
 
   /** Returns whether an earlier owner may have started the task, and this one has not. */
   private boolean unknownFate(Task task) {
-    return !gate.isOpen()
-        && task.job().recovered()
+    boolean jobFateUnknown = task.job().recovered() ? !gate.isOpen() : fateUnknown.test(task.job());
+    return jobFateUnknown
         && task.job().phase() == Job.Phase.ACTIVE
         && task.phase() == Task.Phase.WAITING;
   }
@@ -125,7 +144,7 @@
   @Override
   public void started(WorkerLink link, TaskRun run) {
     counters.taskStarted();
-    LOG.write(LogEvent.TASK_STARTED, "task", run, "worker", link.id(), "token", token);
+    LOG.write(LogEvent.TASK_STARTED, "task", run, "worker", link.id(), "token", token.getAsLong());
     book.find(run.task().jobId())
         .ifPresent(
             job -> {
@@ -219,8 +238,8 @@
   }
 
   @Override
-  public void fenced(WorkerLink link) {
-    log.verify();
+  public void fenced(WorkerLink link, long usedToken) {
+    log.fenced(usedToken);
   }
 
   @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -36,6 +36,13 @@
    */
   public record HeldByOther(LeaseRecord record) implements Result {}
 
+  /**
+   * The store could not be read, and nothing was attempted.
+   *
+   * @param reason why
+   */
+  public record StoreUnreachable(String reason) implements Result {}
+
   /**
    * The attempt did not come to a result.
    *
@@ -43,7 +50,7 @@
    */
   public record Undecided(String reason) implements Result {}
 
-  private static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final Duration TIMEOUT = Duration.ofMillis(400);
 
   /** Slack for the time between the owner's clock reading and the store's transaction. */
   private static final Duration MARGIN = Duration.ofMillis(200);
@@ -143,7 +150,7 @@
             next.accept(
                 page.rows().stream().filter(row -> row.key().equals(rows.lease())).findFirst());
           } else {
-            callback.accept(new Undecided("the lease cannot be read: " + outcome));
+            callback.accept(new StoreUnreachable("the lease cannot be read: " + outcome));
           }
         });
   }
@@ -155,8 +162,9 @@
             .flatMap(ShardLease::decode)
             .map(LeaseRecord::token)
             .orElse(stored.map(StoredRow::version).orElse(0L));
+    long granted = FencingTokens.next(token);
     LeaseRecord taken =
-        new LeaseRecord(token + 1, 0, ownAddress, ownIncarnation, ShardLog.SHORTEST_LEASE);
+        new LeaseRecord(granted, granted, 0, ownAddress, ownIncarnation, ShardLog.SHORTEST_LEASE);
     LeaseClock.Moment sentAt = clock.now();
     store.commit(
         new RowTransaction(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
@@ -25,7 +25,7 @@
  * shard, and after it no earlier transaction can still be applied. A transaction whose answer was
  * lost is therefore repeated unchanged until its fate is known.
  */
-final class ShardLog {
+final class ShardLog implements TenureLog {
 
   /**
    * Shortest time for which the owner may act after a transaction was sent. Bounds how long a shard
@@ -74,10 +74,13 @@
   private List<CommitEntry> batch;
   private boolean mayHaveBeenApplied;
   private boolean renewalDue;
+  private boolean raiseDue;
+  private long confirmedToken;
   private boolean calling;
   private boolean closed;
   private boolean releasing;
   private Runnable released = () -> {};
+  private Runnable tokenRaised = () -> {};
   private int consecutiveFailures;
   private boolean storeAvailable = true;
   private Duration timeout = FIRST_TIMEOUT;
@@ -107,12 +110,13 @@
     this.leaseVersion = leaseVersion;
     this.confirmed = takenAt;
     this.confirmedDuration = lease.duration();
+    this.confirmedToken = lease.token();
     this.leaseLost = leaseLost;
     timer.after(renewalPeriod(), this::renewIfIdle);
   }
 
-  /** Commits an entry with the next transaction. */
-  void append(CommitEntry entry) {
+  @Override
+  public void append(CommitEntry entry) {
     if (closed || releasing) {
       entry.listener().dropped("the shard has another owner");
     } else if (entry.optional() && !storeAvailable) {
@@ -123,27 +127,49 @@
     }
   }
 
-  /** Returns whether the owner may still act on the shard. */
-  boolean leaseValid() {
+  @Override
+  public boolean leaseValid() {
     // The last attempt may have been applied although its answer is missing.
     Duration duration = shorter(confirmedDuration, lease.duration());
     return !closed && clock.since(confirmed).compareTo(duration) < 0;
   }
 
-  /** Returns whether nothing can be committed any more. */
-  boolean closed() {
+  @Override
+  public boolean closed() {
     return closed;
   }
 
-  /** Returns whether the last transactions were answered. */
-  boolean storeAvailable() {
+  @Override
+  public boolean wholeShard() {
+    return true;
+  }
+
+  @Override
+  public boolean storeAvailable() {
     return storeAvailable;
   }
 
-  /** Renews the lease with the next transaction, to learn whether it is still held. */
-  void verify() {
-    renewalDue = true;
-    pump();
+  @Override
+  public long token() {
+    return confirmedToken;
+  }
+
+  /**
+   * Raises the token, unless that has happened since; if another VM has taken the shard, the
+   * attempt shows it. Otherwise the worker was used by an island.
+   */
+  @Override
+  public void fenced(long usedToken) {
+    if (usedToken == lease.token()) {
+      raiseDue = true;
+      renewalDue = true;
+      pump();
+    }
+  }
+
+  /** Sets what is told when the token has been raised. */
+  void onTokenRaised(Runnable listener) {
+    tokenRaised = listener;
   }
 
   /** Commits what waits, gives the shard up, and calls back; later entries are dropped. */
@@ -153,8 +179,8 @@
     pump();
   }
 
-  /** Ends all activity without telling anybody. */
-  void close() {
+  @Override
+  public void close() {
     closed = true;
     waiting.clear();
   }
@@ -199,6 +225,10 @@
           releasing && waiting.isEmpty() && batch.isEmpty()
               ? lease.released()
               : lease.renewed(nextDuration());
+      if (raiseDue) {
+        raiseDue = false;
+        lease = lease.raised();
+      }
     }
     send();
   }
@@ -224,7 +254,7 @@
     List<RowKey> removals = new ArrayList<>();
     conditions.add(new RowCondition(rows.lease(), leaseVersion));
     writes.add(new RowWrite(rows.lease(), lease.encode()));
-    if (lease.vacant()) {
+    if (lease.vacant() || lease.token() != confirmedToken) {
       writes.add(new RowWrite(rows.owner(), lease.encode()));
     }
     for (CommitEntry entry : batch) {
@@ -258,11 +288,17 @@
     leaseVersion = version;
     confirmed = sentAt;
     confirmedDuration = lease.duration();
+    boolean raised = lease.token() != confirmedToken;
+    confirmedToken = lease.token();
     answered();
     List<CommitEntry> done = batch;
     batch = null;
     mayHaveBeenApplied = false;
     done.forEach(entry -> entry.listener().committed());
+    if (raised) {
+      LOG.write(LogEvent.TOKEN_RAISED, "partition", rows.partition(), "token", confirmedToken);
+      tokenRaised.run();
+    }
     if (lease.vacant()) {
       closed = true;
       released.run();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
@@ -93,7 +93,7 @@
     for (StoredRow row : jobRows) {
       try {
         SubmittedJob submitted = JobCodec.decodeJob(row.value());
-        jobs.put(submitted.id(), new Job(submitted, timer.nanoTime(), token, true));
+        jobs.put(submitted.id(), new Job(submitted, timer.nanoTime(), token, true, false));
       } catch (MalformedRecordException e) {
         LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
       }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -17,6 +17,7 @@
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.RowWrite;
 import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
@@ -35,6 +36,12 @@
   /** Entry VMs submit jobs again within about a tenth of a second of learning the new owner. */
   private static final Duration ORPHAN_GRACE = Duration.ofMillis(600);
 
+  /**
+   * Time after which an owner that lost contact with an entry VM has ended that VM's jobs: the
+   * silence, a sweep, and the stops.
+   */
+  private static final Duration REPEAT_DELAY = EntryContacts.SILENCE.plusMillis(400);
+
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration GATE_RETRY = Duration.ofMillis(100);
 
@@ -48,8 +55,7 @@
 
   private final OwnedShardFactory parts;
   private final ShardRows rows;
-  private final ShardLog log;
-  private final long token;
+  private final TenureLog log;
   private final JobBook book = new JobBook();
   private final EndedJobs ended;
   private final WorkerSpeeds speeds = new WorkerSpeeds();
@@ -61,11 +67,15 @@
   private boolean recovered;
   private boolean closed;
 
-  ShardTenure(OwnedShardFactory parts, ShardRows rows, ShardLog log, long token) {
+  /**
+   * Creates a tenure.
+   *
+   * @param directory workers that it may use
+   */
+  ShardTenure(OwnedShardFactory parts, ShardRows rows, TenureLog log, WorkerDirectory directory) {
     this.parts = parts;
     this.rows = rows;
     this.log = log;
-    this.token = token;
     this.ended = new EndedJobs(parts.bounds().statusRetention());
     this.ends =
         new JobEnds(parts.timer(), parts.wallMillis(), log, rows, book, ended, parts.counters());
@@ -77,18 +87,19 @@
             book,
             ends,
             gate,
+            this::fateUnknown,
             speeds,
             placer,
             parts.counters(),
-            token,
+            log::token,
             this::openGateIfAllJoined);
     this.links =
         new WorkerLinks(
             parts.timer(),
             parts.calls(),
-            parts.workers().directory(),
+            directory,
             parts.bounds(),
-            token,
+            log::token,
             runs,
             placer::request);
     placer.use(links);
@@ -101,11 +112,26 @@
         .after(
             ShardLog.LONGEST_LEASE.plus(parts.bounds().workerLeaseSurelyOver()),
             () -> openGate("earlier leases are over"));
-    new ShardRecovery(parts.timer(), parts.store(), rows, token, () -> closed).read(this::recover);
+    new ShardRecovery(parts.timer(), parts.store(), rows, log.token(), () -> closed)
+        .read(this::recover);
+    parts.timer().after(SWEEP_PERIOD, this::sweep);
+    ends.start();
+  }
+
+  /** Starts without a store: there are no jobs of earlier owners that could be read. */
+  void startWithoutStore() {
+    recover(List.of());
     parts.timer().after(SWEEP_PERIOD, this::sweep);
     ends.start();
   }
 
+  /** The token has been raised: workers that an island used may run its tasks. */
+  void tokenRaised() {
+    runs.expectOrphans();
+    parts.timer().after(ORPHAN_GRACE, runs::stopOrphans);
+    links.all().forEach(WorkerLink::requestReport);
+  }
+
   /**
    * Ends all activity; nothing is stored or ordered any more, and who waits must look elsewhere.
    */
@@ -130,7 +156,7 @@
         "partition",
         rows.partition(),
         "token",
-        token,
+        log.token(),
         "jobs",
         jobs.size());
     links.open();
@@ -163,7 +189,7 @@
         "partition",
         rows.partition(),
         "token",
-        token,
+        log.token(),
         "jobs",
         waiting.size(),
         "reason",
@@ -177,7 +203,17 @@
   }
 
   private boolean mayStart(Job job) {
-    return !closed && gate.admits(job) && (job.bestEffort() || log.leaseValid());
+    if (closed || !gate.admits(job)) {
+      return false;
+    }
+    return job.bestEffort() ? !fateUnknown(job) : log.leaseValid();
+  }
+
+  /** Returns whether an earlier owner's runs of a job may still be at work unseen. */
+  private boolean fateUnknown(Job job) {
+    return job.repeated()
+        && !(log.wholeShard() && links.allCertain())
+        && parts.timer().nanoTime() - job.acceptedNanos() < REPEAT_DELAY.toNanos();
   }
 
   /** Ends jobs of best effort whose clients cannot be answered any more. */
@@ -196,6 +232,7 @@
       }
     }
     parts.contacts().forgetSilent();
+    links.forgetGone();
     parts.timer().after(SWEEP_PERIOD, this::sweep);
   }
 
@@ -219,10 +256,12 @@
     }
     Job job =
         new Job(
-            new SubmittedJob(submission.jobId(), submission.queue(), token, submission.spec()),
+            new SubmittedJob(
+                submission.jobId(), submission.queue(), log.token(), submission.spec()),
             parts.timer().nanoTime(),
-            token,
-            false);
+            log.token(),
+            false,
+            submission.repeated());
     Optional<JobAnswer.Refused> refusal = refusal(job);
     if (refusal.isPresent()) {
       refuse(job, refusal.get(), "waiting work " + book.queue().waitingWork());
@@ -260,13 +299,16 @@
         "queue",
         job.queue().name(),
         "token",
-        token,
+        log.token(),
         "tasks",
         job.tasks().size(),
         "after",
         Duration.ofNanos(parts.timer().nanoTime() - job.acceptedNanos()));
     book.queue().add(job);
     placer.request();
+    if (job.repeated()) {
+      parts.timer().after(REPEAT_DELAY, placer::request);
+    }
   }
 
   private void refuse(Job job, JobAnswer.Refused refusal, String reason) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.lovagerack.fleet.job.Resources;
 import org.lovagerack.fleet.job.TaskRun;
 import org.lovagerack.fleet.worker.LeaseOrder;
@@ -58,8 +59,8 @@
     /** A start was confirmed. */
     void started(WorkerLink link, TaskRun run);
 
-    /** The worker has seen a higher fencing token. */
-    void fenced(WorkerLink link);
+    /** The worker has seen a higher fencing token than that of an order. */
+    void fenced(WorkerLink link, long usedToken);
 
     /** The worker has more room than before. */
     void roomGained(WorkerLink link);
@@ -80,6 +81,12 @@
   /** Pause between reports of a worker that runs nothing. */
   private static final Duration IDLE_PAUSE = Duration.ofSeconds(1);
 
+  /** Pause between reports of a worker that is not listed: it may be cut off with its entry VMs. */
+  private static final Duration UNLISTED_PAUSE = Duration.ofMillis(300);
+
+  /** Time after which a worker that is not listed and does not report counts as gone. */
+  private static final Duration UNLISTED_RETENTION = Duration.ofSeconds(12);
+
   private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
 
   /** Pause after a start without room; about the shortest task. */
@@ -93,12 +100,13 @@
   private final TimerService timer;
   private final WorkerCalls calls;
   private final FleetBounds bounds;
-  private final long token;
+  private final LongSupplier token;
   private final Listener listener;
   private final Map<TaskRun, ActiveRun> runs = new HashMap<>();
   private final TreeMap<Long, Boolean> listedEnds = new TreeMap<>();
   private WorkerEntry entry;
   private boolean listed = true;
+  private long unlistedNanos;
   private boolean closed;
   private boolean joined;
   private boolean suspect;
@@ -119,7 +127,7 @@
       TimerService timer,
       WorkerCalls calls,
       FleetBounds bounds,
-      long token,
+      LongSupplier token,
       WorkerEntry entry,
       Listener listener) {
     this.timer = timer;
@@ -145,8 +153,9 @@
     return joined;
   }
 
-  boolean idle() {
-    return runs.isEmpty();
+  /** Returns whether the worker has not answered the last report. */
+  boolean suspect() {
+    return suspect;
   }
 
   /** Returns whether the worker counts towards the capacity of its service. */
@@ -191,6 +200,14 @@
   /** The directory does not list the worker any more. */
   void unlisted() {
     listed = false;
+    unlistedNanos = timer.nanoTime();
+  }
+
+  /** Returns whether the worker can be forgotten. */
+  boolean gone() {
+    return !listed
+        && runs.isEmpty()
+        && timer.nanoTime() - unlistedNanos > UNLISTED_RETENTION.toNanos();
   }
 
   /** Asks for the first report. */
@@ -210,7 +227,10 @@
     lastExtensionNanos = timer.nanoTime();
     StartOrder order =
         new StartOrder(
-            run, specification, workerClock() + bounds.longestWorkerLease().toMillis(), token);
+            run,
+            specification,
+            workerClock() + bounds.longestWorkerLease().toMillis(),
+            token.getAsLong());
     long incarnationAtStart = incarnation;
     calls.start(
         entry,
@@ -218,7 +238,7 @@
         ORDER_TIMEOUT,
         outcome -> {
           if (!closed && incarnation == incarnationAtStart && runs.get(run) == active) {
-            startAnswered(run, active, outcome);
+            startAnswered(run, active, order.fencingToken(), outcome);
           }
         });
     requestReport();
@@ -262,7 +282,7 @@
     }
   }
 
-  private void startAnswered(TaskRun run, ActiveRun active, OrderOutcome outcome) {
+  private void startAnswered(TaskRun run, ActiveRun active, long usedToken, OrderOutcome outcome) {
     switch (outcome) {
       case OrderOutcome.Done done -> {
         readClock(done.clockMillis());
@@ -271,7 +291,7 @@
         active.confirmed = true;
         listener.started(this, run);
       }
-      case OrderOutcome.Rejected rejected -> startRejected(run, rejected);
+      case OrderOutcome.Rejected rejected -> startRejected(run, usedToken, rejected);
       case OrderOutcome.Unknown unknown -> {
         LOG.write(
             LogEvent.START_UNANSWERED, "task", run, "worker", id(), "detail", unknown.detail());
@@ -283,7 +303,7 @@
     }
   }
 
-  private void startRejected(TaskRun run, OrderOutcome.Rejected rejected) {
+  private void startRejected(TaskRun run, long usedToken, OrderOutcome.Rejected rejected) {
     LOG.write(
         LogEvent.START_REJECTED,
         "task",
@@ -308,16 +328,20 @@
         rejections++;
       }
       case SUPERSEDED -> {}
-      case FENCED -> listener.fenced(this);
+      case FENCED -> {
+        avoidUntilNanos = now + RETRY_PAUSE.toNanos();
+        listener.fenced(this, usedToken);
+      }
     }
     listener.lost(this, run, "start rejected: " + rejected.reason());
   }
 
   private void sendStop(TaskRun run) {
+    long usedToken = token.getAsLong();
     calls.stop(
         entry,
         run,
-        token,
+        usedToken,
         ORDER_TIMEOUT,
         outcome -> {
           ActiveRun active = runs.get(run);
@@ -331,7 +355,7 @@
             requestReport();
           } else if (outcome instanceof OrderOutcome.Rejected rejected
               && rejected.reason() == OrderOutcome.Reason.FENCED) {
-            listener.fenced(this);
+            listener.fenced(this, usedToken);
           } else {
             timer.after(
                 RETRY_PAUSE,
@@ -363,9 +387,10 @@
     // not told to forget any.
     long acknowledge = joined && !suspect ? acknowledgedThrough : 0;
     long sentNanos = timer.nanoTime();
+    long usedToken = token.getAsLong();
     calls.report(
         entry,
-        new LeaseOrder(token, deadline, acknowledge, waits ? REPORT_WAIT : Duration.ZERO),
+        new LeaseOrder(usedToken, deadline, acknowledge, waits ? REPORT_WAIT : Duration.ZERO),
         ORDER_TIMEOUT,
         outcome -> {
           reporting = false;
@@ -374,15 +399,15 @@
           }
           switch (outcome) {
             case ReportOutcome.Reported reported -> receive(reported.report(), sentNanos);
-            case ReportOutcome.Missing missing -> reportMissing(missing.order());
+            case ReportOutcome.Missing missing -> reportMissing(missing.order(), usedToken);
           }
         });
   }
 
-  private void reportMissing(OrderOutcome order) {
+  private void reportMissing(OrderOutcome order, long usedToken) {
     if (order instanceof OrderOutcome.Rejected rejected
         && rejected.reason() == OrderOutcome.Reason.FENCED) {
-      listener.fenced(this);
+      listener.fenced(this, usedToken);
     }
     if (!suspect) {
       suspect = true;
@@ -391,11 +416,7 @@
     if (timer.nanoTime() - lastExtensionNanos > bounds.workerLeaseSurelyOver().toNanos()) {
       loseAllRuns("the worker's lease is over");
     }
-    if (!listed && runs.isEmpty()) {
-      // Nothing is known to run there, and the platform does not expect it back.
-      return;
-    }
-    timer.after(RETRY_PAUSE, this::report);
+    timer.after(listed ? RETRY_PAUSE : UNLISTED_PAUSE, this::report);
   }
 
   private void receive(WorkerReport report, long sentNanos) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.lovagerack.fleet.worker.WorkerCalls;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
@@ -19,7 +20,7 @@
   private final WorkerCalls calls;
   private final WorkerDirectory directory;
   private final FleetBounds bounds;
-  private final long token;
+  private final LongSupplier token;
   private final WorkerLink.Listener listener;
   private final Runnable changed;
   private final Map<String, WorkerLink> links = new TreeMap<>();
@@ -36,7 +37,7 @@
       WorkerCalls calls,
       WorkerDirectory directory,
       FleetBounds bounds,
-      long token,
+      LongSupplier token,
       WorkerLink.Listener listener,
       Runnable changed) {
     this.timer = timer;
@@ -60,6 +61,16 @@
     links.values().forEach(WorkerLink::close);
   }
 
+  /** Forgets workers that are gone. */
+  void forgetGone() {
+    for (WorkerLink link : all()) {
+      if (link.gone()) {
+        link.close();
+        links.remove(link.id().value());
+      }
+    }
+  }
+
   Collection<WorkerLink> all() {
     return List.copyOf(links.values());
   }
@@ -69,6 +80,11 @@
     return opened && !links.isEmpty() && links.values().stream().allMatch(WorkerLink::joined);
   }
 
+  /** Returns whether the runs on every worker are known. */
+  boolean allCertain() {
+    return allJoined() && links.values().stream().noneMatch(WorkerLink::suspect);
+  }
+
   /** Returns the cores of the workers that take tasks of a service, weighted by their speeds. */
   double capacity(String service, WorkerSpeeds speeds) {
     double cores = 0;
@@ -89,10 +105,6 @@
       link.update(entry.get());
     } else if (link != null) {
       link.unlisted();
-      if (link.idle()) {
-        link.close();
-        links.remove(id.value());
-      }
     }
     changed.run();
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerDirectory.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerDirectory.java
@@ -17,6 +17,7 @@
   private static final EventLog LOG = new EventLog(WorkerDirectory.class);
 
   private final SortedMap<String, WorkerEntry> entries = new TreeMap<>();
+  private long version;
   private final List<Consumer<WorkerId>> listeners = new ArrayList<>();
 
   /** Adds a listener that is told which worker's entry has changed or gone. */
@@ -56,6 +57,11 @@
     }
   }
 
+  /** Returns a number that grows with every change. */
+  public long version() {
+    return version;
+  }
+
   /** Returns the entry of a worker. */
   public Optional<WorkerEntry> find(WorkerId id) {
     return Optional.ofNullable(entries.get(id.value()));
@@ -67,6 +73,7 @@
   }
 
   private void notifyListeners(WorkerId id) {
+    version++;
     List.copyOf(listeners).forEach(listener -> listener.accept(id));
   }
 }
--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -10,17 +10,15 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import java.util.stream.IntStream;
 import org.lovagerack.eventloop.HttpCaller;
 import org.lovagerack.fleet.configuration.ConfigurationHolder;
 import org.lovagerack.fleet.entry.JobRouter;
 import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.shard.EntryContacts;
 import org.lovagerack.fleet.shard.FleetBounds;
 import org.lovagerack.fleet.shard.LeaseClock;
 import org.lovagerack.fleet.shard.OwnedShardFactory;
-import org.lovagerack.fleet.shard.ShardLease;
-import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.store.TableFollower;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerFeed;
@@ -126,26 +124,9 @@
             new FleetBounds(
                 settings.longestWorkerLease(), settings.cancelWithin(), settings.statusRetention()),
             metrics);
-    List<ShardLease> leases =
-        IntStream.range(0, settings.shards())
-            .mapToObj(
-                shard ->
-                    new ShardLease(
-                        timer,
-                        clock,
-                        store,
-                        ShardRows.of(shard),
-                        settings.peerAddress(),
-                        incarnation,
-                        factory))
-            .toList();
-    router =
-        new JobRouter(
-            timer,
-            random,
-            store,
-            new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS), self),
-            leases);
+    EntryVm vm = new EntryVm(self, settings.peerAddress(), settings.failureDomain());
+    PeerClient peerCalls = new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS), vm);
+    router = new JobRouter(timer, random, peerCalls, factory, vm, settings.shards());
     clients = new ClientInterface(timer, configuration, router, self);
     peers = new PeerServer(router, contacts, incarnation);
   }
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -9,18 +9,23 @@
 import java.util.function.Consumer;
 import org.lovagerack.eventloop.HttpCaller;
 import org.lovagerack.eventloop.HttpReply;
+import org.lovagerack.fleet.entry.FleetView;
 import org.lovagerack.fleet.entry.PeerCalls;
-import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.job.SubmittedJob;
 import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
 
 /** Calls other entry VMs over HTTP. */
 public final class PeerClient implements PeerCalls {
 
+  private static final EventLog LOG = new EventLog(PeerClient.class);
+
   /** A cancellation waits for the store; a slow one takes about half a second. */
   private static final Duration CANCEL_TIMEOUT = Duration.ofMillis(2500);
 
@@ -29,14 +34,14 @@
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final HttpCaller caller;
-  private final EntryId self;
+  private final EntryVm self;
 
   /**
    * Creates a client.
    *
    * @param self this process
    */
-  public PeerClient(HttpCaller caller, EntryId self) {
+  public PeerClient(HttpCaller caller, EntryVm self) {
     this.caller = caller;
     this.self = self;
   }
@@ -56,14 +61,45 @@
 
   private static Liveness liveness(HttpReply reply) {
     return switch (reply) {
-      case HttpReply.Response response ->
-          response.status() == PeerProtocol.MISDIRECTED ? Liveness.GONE : Liveness.ALIVE;
+      case HttpReply.Response response -> {
+        if (response.status() == PeerProtocol.MISDIRECTED) {
+          yield new Gone();
+        }
+        try {
+          yield new Alive(PeerProtocol.decodeVersion(response.body()));
+        } catch (IOException e) {
+          LOG.write(LogEvent.PEER_REJECTED, e, "call", "probe");
+          yield new Silent();
+        }
+      }
       case HttpReply.NotSent notSent ->
-          notSent.reason().contains("refused") ? Liveness.GONE : Liveness.SILENT;
-      case HttpReply.NoResponse none -> Liveness.SILENT;
+          notSent.reason().contains("refused") ? new Gone() : new Silent();
+      case HttpReply.NoResponse none -> new Silent();
     };
   }
 
+  @Override
+  public void view(
+      String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {
+    caller.call(
+        HttpMethod.GET,
+        address,
+        PeerProtocol.VIEW_PATH,
+        headers(incarnation),
+        Buffer.buffer(),
+        timeout,
+        reply -> {
+          if (reply instanceof HttpReply.Response response
+              && response.status() == PeerProtocol.OK) {
+            try {
+              callback.accept(ViewCodec.decode(response.body()));
+            } catch (IOException e) {
+              LOG.write(LogEvent.PEER_REJECTED, e, "call", "view");
+            }
+          }
+        });
+  }
+
   @Override
   public JobService jobsAt(String address, long incarnation) {
     return new RemoteJobs(address, incarnation);
@@ -74,7 +110,11 @@
         PeerProtocol.INCARNATION_HEADER,
         Long.toString(incarnation),
         PeerProtocol.ENTRY_HEADER,
-        Long.toString(self.incarnation()));
+        Long.toString(self.id().incarnation()),
+        PeerProtocol.ADDRESS_HEADER,
+        self.address(),
+        PeerProtocol.FAILURE_DOMAIN_HEADER,
+        self.failureDomain());
   }
 
   private final class RemoteJobs implements JobService {
@@ -90,6 +130,7 @@
     public void submit(Submission submission, Consumer<JobAnswer> callback) {
       Map<String, String> headers = new HashMap<>(headers(incarnation));
       headers.put(PeerProtocol.PATIENCE_HEADER, Long.toString(submission.patience().toMillis()));
+      headers.put(PeerProtocol.REPEATED_HEADER, Boolean.toString(submission.repeated()));
       call(
           HttpMethod.PUT,
           PeerProtocol.JOBS_PATH + submission.jobId(),
--- a/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
@@ -14,6 +14,7 @@
 /** Paths and bodies of the calls between entry VMs. */
 final class PeerProtocol {
 
+  static final String VIEW_PATH = "/v1/view";
   static final String PROCESS_PATH = "/v1/process";
   static final String JOBS_PATH = "/v1/jobs/";
   static final String QUEUES_PATH = "/v1/queues/";
@@ -24,9 +25,18 @@
   /** Incarnation of the process that calls. */
   static final String ENTRY_HEADER = "Lovagerack-Entry";
 
+  /** Address of the process that calls, for calls to it. */
+  static final String ADDRESS_HEADER = "Lovagerack-Address";
+
+  /** Failure domain of the process that calls. */
+  static final String FAILURE_DOMAIN_HEADER = "Lovagerack-Failure-Domain";
+
   /** Ends the wait of an entry VM for a job of best effort. */
   static final String ABANDON_SUFFIX = "/abandon";
 
+  /** Whether an earlier owner may have received the job. */
+  static final String REPEATED_HEADER = "Lovagerack-Repeated";
+
   /** How long the caller's client waits, milliseconds. */
   static final String PATIENCE_HEADER = "Lovagerack-Patience-Millis";
 
@@ -61,6 +71,18 @@
     }
   }
 
+  static Buffer encodeVersion(long viewVersion) {
+    return Buffer.buffer(Long.toString(viewVersion));
+  }
+
+  static long decodeVersion(Buffer body) throws IOException {
+    try {
+      return Long.parseLong(body.toString());
+    } catch (NumberFormatException e) {
+      throw new IOException("view version " + body, e);
+    }
+  }
+
   static JobAnswer decode(Buffer body) throws IOException {
     JsonNode node = MAPPER.readTree(body.getBytes());
     String answer = node.path("answer").asText();
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.lovagerack.fleet.entry.JobRouter;
 import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobService;
@@ -25,6 +26,7 @@
 
   private static final EventLog LOG = new EventLog(PeerServer.class);
 
+  private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
 
   /** The caller looks for the new owner in the meantime. */
@@ -53,11 +55,19 @@
       return;
     }
     EntryId entry = new EntryId(number(request, PeerProtocol.ENTRY_HEADER));
-    contacts.heard(entry);
+    String address = request.getHeader(PeerProtocol.ADDRESS_HEADER);
+    String failureDomain = request.getHeader(PeerProtocol.FAILURE_DOMAIN_HEADER);
+    if (address == null || failureDomain == null) {
+      request.response().setStatusCode(BAD_REQUEST).end();
+      return;
+    }
+    contacts.heard(new EntryVm(entry, address, failureDomain));
     String path = request.path();
     Consumer<JobAnswer> answer = given -> request.response().end(PeerProtocol.encode(given));
     if (path.equals(PeerProtocol.PROCESS_PATH)) {
-      request.response().end();
+      request.response().end(PeerProtocol.encodeVersion(router.viewVersion()));
+    } else if (path.equals(PeerProtocol.VIEW_PATH)) {
+      request.response().end(ViewCodec.encode(router.view()));
     } else if (path.startsWith(PeerProtocol.JOBS_PATH)) {
       call(request, entry, path.substring(PeerProtocol.JOBS_PATH.length()), answer);
     } else if (path.startsWith(PeerProtocol.QUEUES_PATH)) {
@@ -72,6 +82,7 @@
       HttpServerRequest request, EntryId entry, String path, Consumer<JobAnswer> answer) {
     if (request.method().equals(HttpMethod.PUT)) {
       Duration patience = patience(request);
+      boolean repeated = Boolean.parseBoolean(request.getHeader(PeerProtocol.REPEATED_HEADER));
       request
           .body()
           .onSuccess(
@@ -80,6 +91,7 @@
                       body,
                       patience,
                       entry,
+                      repeated,
                       answer,
                       submission ->
                           own(
@@ -95,6 +107,7 @@
                       body,
                       Duration.ZERO,
                       entry,
+                      false,
                       answer,
                       submission -> {
                         router
@@ -122,11 +135,12 @@
       Buffer body,
       Duration patience,
       EntryId entry,
+      boolean repeated,
       Consumer<JobAnswer> answer,
       Consumer<Submission> action) {
     try {
       SubmittedJob job = JobCodec.decodeJob(Bytes.copyOf(body.getBytes()));
-      action.accept(new Submission(job.id(), job.queue(), job.spec(), patience, entry));
+      action.accept(new Submission(job.id(), job.queue(), job.spec(), patience, entry, repeated));
     } catch (MalformedRecordException e) {
       LOG.write(LogEvent.REQUEST_REJECTED, e, "entry", entry);
       answer.accept(new JobAnswer.Refused(ErrorKind.MALFORMED_REQUEST, Duration.ZERO));
--- /dev/null
+++ b/node/src/main/java/org/lovagerack/node/peer/ViewCodec.java
@@ -0,0 +1,92 @@
+package org.lovagerack.node.peer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lovagerack.fleet.entry.FleetView;
+import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerId;
+
+/** The form of a view of the fleet between entry VMs. */
+final class ViewCodec {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ViewCodec() {}
+
+  static Buffer encode(FleetView view) {
+    ObjectNode root = MAPPER.createObjectNode().put("version", view.version());
+    ArrayNode workers = root.putArray("workers");
+    for (WorkerEntry worker : view.workers()) {
+      ObjectNode node =
+          workers
+              .addObject()
+              .put("id", worker.id().value())
+              .put("service", worker.service())
+              .put("address", worker.address())
+              .put("failureDomain", worker.failureDomain())
+              .put("draining", worker.draining())
+              .put("cpuMillicores", worker.capacity().cpuMillicores())
+              .put("memoryMegabytes", worker.capacity().memoryMegabytes())
+              .put("accelerators", worker.capacity().accelerators())
+              .put("incarnation", worker.incarnation());
+      ArrayNode labels = node.putArray("labels");
+      worker.labels().forEach(labels::add);
+    }
+    ArrayNode entries = root.putArray("entries");
+    for (EntryVm entry : view.entries()) {
+      entries
+          .addObject()
+          .put("incarnation", entry.id().incarnation())
+          .put("address", entry.address())
+          .put("failureDomain", entry.failureDomain());
+    }
+    try {
+      return Buffer.buffer(MAPPER.writeValueAsBytes(root));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree cannot be written", e);
+    }
+  }
+
+  static FleetView decode(Buffer body) throws IOException {
+    JsonNode root = MAPPER.readTree(body.getBytes());
+    List<WorkerEntry> workers = new ArrayList<>();
+    for (JsonNode node : root.path("workers")) {
+      Set<String> labels = new HashSet<>();
+      node.path("labels").forEach(label -> labels.add(label.asText()));
+      workers.add(
+          new WorkerEntry(
+              new WorkerId(node.path("id").asText()),
+              node.path("service").asText(),
+              node.path("address").asText(),
+              node.path("failureDomain").asText(),
+              node.path("draining").asBoolean(),
+              new Resources(
+                  node.path("cpuMillicores").asLong(),
+                  node.path("memoryMegabytes").asLong(),
+                  node.path("accelerators").asLong()),
+              labels,
+              node.path("incarnation").asLong()));
+    }
+    List<EntryVm> entries = new ArrayList<>();
+    for (JsonNode node : root.path("entries")) {
+      entries.add(
+          new EntryVm(
+              new EntryId(node.path("incarnation").asLong()),
+              node.path("address").asText(),
+              node.path("failureDomain").asText()));
+    }
+    return new FleetView(root.path("version").asLong(), workers, entries);
+  }
+}
