--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
@@ -83,6 +83,9 @@
   }
 
   private boolean place(Task task, String service) {
+    if (links.mayBeAtWork(task.id())) {
+      return false;
+    }
     List<WorkerLink> eligible = new ArrayList<>();
     List<Candidate> candidates = new ArrayList<>();
     for (WorkerLink link : links.all()) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -53,7 +53,7 @@
   private static final Duration TIMEOUT = Duration.ofMillis(400);
 
   /** Slack for the time between the owner's clock reading and the store's transaction. */
-  private static final Duration MARGIN = Duration.ofMillis(200);
+  private static final Duration MARGIN = Duration.ofMillis(100);
 
   private static final EventLog LOG = new EventLog(ShardLease.class);
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
@@ -31,7 +31,7 @@
    * Shortest time for which the owner may act after a transaction was sent. Bounds how long a shard
    * whose owner is silent is without one.
    */
-  static final Duration SHORTEST_LEASE = Duration.ofMillis(700);
+  static final Duration SHORTEST_LEASE = Duration.ofMillis(400);
 
   /** Longest lease, for a store that is slow. */
   static final Duration LONGEST_LEASE = Duration.ofSeconds(3);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -101,6 +101,7 @@
   private final WorkerCalls calls;
   private final FleetBounds bounds;
   private final LongSupplier token;
+  private final ActiveTasks activeTasks;
   private final Listener listener;
   private final Map<TaskRun, ActiveRun> runs = new HashMap<>();
   private final TreeMap<Long, Boolean> listedEnds = new TreeMap<>();
@@ -129,12 +130,14 @@
       FleetBounds bounds,
       LongSupplier token,
       WorkerEntry entry,
+      ActiveTasks activeTasks,
       Listener listener) {
     this.timer = timer;
     this.calls = calls;
     this.bounds = bounds;
     this.token = token;
     this.entry = entry;
+    this.activeTasks = activeTasks;
     this.listener = listener;
     this.avoidUntilNanos = timer.nanoTime();
     this.nextIdleReportNanos = timer.nanoTime();
@@ -222,8 +225,7 @@
   /** Starts a run; the listener hears of its fate. */
   void start(TaskRun run, String specification, Resources resources) {
     ActiveRun active = new ActiveRun(resources, timer.nanoTime());
-    runs.put(run, active);
-    used = used.plus(resources);
+    add(run, active);
     lastExtensionNanos = timer.nanoTime();
     StartOrder order =
         new StartOrder(
@@ -499,8 +501,7 @@
     ActiveRun active = new ActiveRun(found.resources(), timer.nanoTime());
     active.confirmed = true;
     active.confirmedNanos = timer.nanoTime();
-    runs.put(run, active);
-    used = used.plus(active.resources);
+    add(run, active);
     if (!found.goesOn()) {
       stop(run);
     }
@@ -526,14 +527,20 @@
 
   private void loseAllRuns(String reason) {
     List<TaskRun> lost = new ArrayList<>(runs.keySet());
-    runs.clear();
-    used = Resources.NONE;
+    lost.forEach(this::forget);
     lost.forEach(run -> listener.lost(this, run, reason));
   }
 
+  private void add(TaskRun run, ActiveRun active) {
+    runs.put(run, active);
+    used = used.plus(active.resources);
+    activeTasks.add(run.task());
+  }
+
   private void forget(TaskRun run) {
     ActiveRun active = runs.remove(run);
     if (active != null) {
+      activeTasks.remove(run.task());
       used = used.minus(active.resources);
     }
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.lovagerack.fleet.job.TaskId;
 import org.lovagerack.fleet.worker.WorkerCalls;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
@@ -25,6 +26,7 @@
   private final Runnable changed;
   private final Map<String, WorkerLink> links = new TreeMap<>();
   private final Consumer<WorkerId> directoryListener = this::directoryChanged;
+  private final ActiveTasks activeTasks = new ActiveTasks();
   private boolean opened;
 
   /**
@@ -71,6 +73,11 @@
     }
   }
 
+  /** Returns whether a run of the task may be at work on some worker. */
+  boolean mayBeAtWork(TaskId task) {
+    return activeTasks.contains(task);
+  }
+
   Collection<WorkerLink> all() {
     return List.copyOf(links.values());
   }
@@ -111,7 +118,7 @@
 
   private void add(WorkerEntry entry) {
     if (!links.containsKey(entry.id().value())) {
-      WorkerLink link = new WorkerLink(timer, calls, bounds, token, entry, listener);
+      WorkerLink link = new WorkerLink(timer, calls, bounds, token, entry, activeTasks, listener);
       links.put(entry.id().value(), link);
       link.open();
     }
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -0,0 +1,173 @@
+package org.lovagerack.fleet.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.LeaseRecord;
+import org.lovagerack.fleet.shard.ShardRows;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Guards what a client is told when the owner of its job fails or changes. */
+final class SubmissionRelayTest {
+
+  private static final JobAnswer OVERLOADED =
+      new JobAnswer.Refused(ErrorKind.OVERLOADED, Duration.ofSeconds(2));
+  private static final JobAnswer UNREACHABLE =
+      new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, Duration.ofSeconds(1));
+  private static final JobAnswer BROKEN = new JobAnswer.Unresolved(ErrorKind.OWNER_UNREACHABLE);
+  private static final JobAnswer COMPLETED = new JobAnswer.State(JobState.COMPLETED);
+
+  private final FakeFleet fleet = new FakeFleet(2, Duration.ofMillis(50));
+  private final FakeFleet.Vm vm = fleet.vm("entry");
+  private final ScriptedPeers peers = new ScriptedPeers();
+  private final ShardSeat seat =
+      new ShardSeat(
+          fleet.timer,
+          new SplittableRandom(1),
+          peers,
+          vm.lease(),
+          new IslandSeat(
+              fleet.timer, peers, vm.parts, ShardRows.of(0), new EntryVm(vm.id, "entry", "a")),
+          0);
+  private final List<JobAnswer> answers = new ArrayList<>();
+
+  private void ownerIs(long token, String address) {
+    LeaseRecord record = new LeaseRecord(token, token, 0, address, token, Duration.ofMillis(700));
+    seat.ownerStored(
+        new StoredRow(
+            new RowKey(ShardRows.OWNER_TABLE, "shard-0", "shard"), record.encode(), token, false));
+  }
+
+  private void submit(long estimatedMillis) {
+    Submission submission = FakeFleet.job("job-1", 1, estimatedMillis, true);
+    new SubmissionRelay(fleet.timer, seat, submission, answers::add).start();
+  }
+
+  private void run(long millis) {
+    fleet.timer.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void refusalOfTheFirstOwnerIsPassedOn() {
+    ownerIs(1000, "first");
+    peers.script.add(OVERLOADED);
+    submit(100);
+
+    assertThat(answers).containsExactly(OVERLOADED);
+  }
+
+  @Test
+  void refusalAfterAnAttemptThatMayHaveArrivedIsNotPassedOn() {
+    ownerIs(1000, "first");
+    peers.script.add(BROKEN);
+    peers.script.add(OVERLOADED);
+    submit(1000);
+    run(500);
+
+    assertThat(answers).containsExactly(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+    assertThat(peers.submissions).hasSize(2);
+    assertThat(peers.submissions.get(1).repeated()).isTrue();
+  }
+
+  @Test
+  void callThatWasNotReceivedIsMadeAgainAsANewOne() {
+    ownerIs(1000, "first");
+    peers.script.add(UNREACHABLE);
+    peers.script.add(COMPLETED);
+    submit(1000);
+    run(500);
+
+    assertThat(answers).containsExactly(COMPLETED);
+    assertThat(peers.submissions.get(1).repeated()).isFalse();
+  }
+
+  @Test
+  void withoutAnOwnerTheJobIsRefusedLongBeforeItsDeadline() {
+    submit(100);
+    run(200);
+
+    assertThat(answers)
+        .containsExactly(new JobAnswer.Refused(ErrorKind.NOT_READY, Duration.ofSeconds(1)));
+  }
+
+  @Test
+  void jobGoesToTheNextOwnerWhenTheFirstIsReplaced() {
+    ownerIs(1000, "first");
+    submit(1000);
+    assertThat(peers.submissions).hasSize(1);
+    peers.script.add(COMPLETED);
+    ownerIs(2000, "second");
+    run(500);
+
+    assertThat(answers).containsExactly(COMPLETED);
+    assertThat(peers.submissions.get(1).repeated()).isTrue();
+  }
+
+  @Test
+  void answerThatIsReadyIsDeliveredAlsoFromAReplacedOwner() {
+    ownerIs(1000, "first");
+    submit(1000);
+    ownerIs(2000, "second");
+    run(100);
+    peers.open.getFirst().accept(COMPLETED);
+    run(100);
+    peers.open.getLast().accept(COMPLETED);
+
+    assertThat(answers).containsExactly(COMPLETED);
+  }
+
+  private static final class ScriptedPeers implements PeerCalls {
+    private final Deque<JobAnswer> script = new ArrayDeque<>();
+    private final List<Submission> submissions = new ArrayList<>();
+    private final List<Consumer<JobAnswer>> open = new ArrayList<>();
+
+    @Override
+    public void probe(
+        String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
+      callback.accept(new Alive(0));
+    }
+
+    @Override
+    public void view(
+        String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {}
+
+    @Override
+    public JobService jobsAt(String address, long incarnation) {
+      return new JobService() {
+        @Override
+        public void submit(Submission submission, Consumer<JobAnswer> callback) {
+          submissions.add(submission);
+          Optional.ofNullable(script.poll()).ifPresentOrElse(callback, () -> open.add(callback));
+        }
+
+        @Override
+        public void abandon(Submission submission) {}
+
+        @Override
+        public void state(String jobId, Consumer<JobAnswer> callback) {}
+
+        @Override
+        public void cancel(String jobId, Consumer<JobAnswer> callback) {}
+
+        @Override
+        public void pending(String queueName, Consumer<JobAnswer> callback) {}
+      };
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/DecisionsTest.java
@@ -0,0 +1,130 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.job.StepSpec;
+import org.lovagerack.fleet.worker.WorkerId;
+
+/** Tests of the decisions that need no network: admission, placement, speeds, run numbers. */
+final class DecisionsTest {
+
+  private static StepSpec step(String label, String rack, int maxPerWorker) {
+    return new StepSpec(
+        1,
+        new Resources(6800, 64, 0),
+        Duration.ofMillis(100),
+        List.of(),
+        label,
+        rack,
+        maxPerWorker);
+  }
+
+  private static Candidate candidate(long cpu, double speed) {
+    return new Candidate(new Resources(cpu, 1000, 0), Set.of("a"), speed, false, false, 0);
+  }
+
+  @Test
+  void fastestWorkerWithRoomIsChosen() {
+    assertThat(
+            Placement.choose(
+                step("", "", 0),
+                List.of(candidate(16_000, 0.6), candidate(4_000, 3), candidate(9_000, 1.6))))
+        .isEqualTo(2);
+  }
+
+  @Test
+  void amongEqualSpeedsTheTightestFitIsChosen() {
+    assertThat(
+            Placement.choose(
+                step("", "", 0), List.of(candidate(16_000, 1), candidate(7_000, 1.05))))
+        .isEqualTo(1);
+  }
+
+  @Test
+  void workerWhereTheTaskFailedIsTheLastChoice() {
+    Candidate failed = new Candidate(new Resources(16_000, 1000, 0), Set.of(), 2, false, true, 0);
+    Candidate distrusted =
+        new Candidate(new Resources(16_000, 1000, 0), Set.of(), 2, true, false, 0);
+
+    assertThat(
+            Placement.choose(step("", "", 0), List.of(failed, distrusted, candidate(16_000, 0.6))))
+        .isEqualTo(2);
+    assertThat(Placement.choose(step("", "", 0), List.of(failed))).isZero();
+  }
+
+  @Test
+  void labelAndLimitPerWorkerExclude() {
+    Candidate full = new Candidate(new Resources(16_000, 1000, 0), Set.of("a"), 1, false, false, 2);
+
+    assertThat(Placement.choose(step("b", "", 0), List.of(candidate(16_000, 1))))
+        .isEqualTo(Placement.NONE);
+    assertThat(Placement.choose(step("a", "", 2), List.of(full))).isEqualTo(Placement.NONE);
+  }
+
+  @Property(tries = 500, seed = "1")
+  void refusedJobsAreExactlyThoseThatCouldNotEndInUsefulTime(
+      @ForAll @DoubleRange(min = 0, max = 500) double work,
+      @ForAll @DoubleRange(min = 1, max = 500) double capacity,
+      @ForAll @IntRange(min = 1, max = 5000) int ownMillis,
+      @ForAll @IntRange(min = 1, max = 5000) int objectiveMillis) {
+    boolean useful = work / capacity + ownMillis / 1000.0 <= 3 * objectiveMillis / 1000.0;
+
+    assertThat(
+            Admission.decide(
+                    work,
+                    capacity,
+                    Duration.ofMillis(ownMillis),
+                    Duration.ofMillis(objectiveMillis))
+                .isEmpty())
+        .isEqualTo(useful);
+  }
+
+  @Test
+  void noCapacityMeansRefusal() {
+    assertThat(Admission.decide(0, 0, Duration.ofMillis(1), Duration.ofSeconds(9))).isPresent();
+  }
+
+  @Test
+  void speedFollowsObservationsAndFailuresBringDistrust() {
+    WorkerSpeeds speeds = new WorkerSpeeds();
+    WorkerId worker = new WorkerId("w");
+    for (int run = 0; run < 60; run++) {
+      speeds.succeeded(worker, Duration.ofMillis(100), Duration.ofMillis(200));
+    }
+    assertThat(speeds.speed(worker)).isBetween(0.45, 0.55);
+    speeds.failed(worker);
+    assertThat(speeds.distrusted(worker)).isFalse();
+    speeds.failed(worker);
+    assertThat(speeds.distrusted(worker)).isTrue();
+    speeds.succeeded(worker, Duration.ofMillis(100), Duration.ofMillis(200));
+    assertThat(speeds.distrusted(worker)).isFalse();
+  }
+
+  @Test
+  void laterOwnersNumberRunsAboveEarlierOnes() {
+    long first = FencingTokens.next(0);
+    long second = FencingTokens.next(first);
+
+    assertThat(RunNumbers.first(first, first)).isEqualTo(1);
+    assertThat(RunNumbers.first(first, second)).isGreaterThan(1);
+  }
+
+  @Property(tries = 200, seed = "2")
+  void islandTokensLieBetweenTheOwnersTokenAndTheNext(
+      @ForAll @IntRange(min = 0, max = 2000) int rank) {
+    long owner = FencingTokens.next(41_000);
+
+    assertThat(FencingTokens.island(owner, rank))
+        .isGreaterThan(owner)
+        .isLessThan(FencingTokens.next(owner));
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnersRaceTest.java
@@ -0,0 +1,104 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.FakeNetwork;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.OwnedVm;
+
+/**
+ * Several VMs race for one shard while store, paths and workers fail at random: no task of a kept
+ * job runs twice at the same time or after its end was acknowledged, and when everything is well
+ * again each accepted job ends.
+ */
+final class OwnersRaceTest {
+
+  private static final int STEPS = 60;
+
+  @Property(tries = 60, seed = "3", shrinking = ShrinkingMode.OFF)
+  void keptJobsRunOnceAndEnd(@ForAll long seed) {
+    Random random = new Random(seed);
+    FakeFleet fleet = new FakeFleet(4, Duration.ofMillis(120));
+    List<FakeFleet.Vm> vms = List.of(fleet.vm("vm-0"), fleet.vm("vm-1"), fleet.vm("vm-2"));
+    List<OwnedVm> owners = new ArrayList<>();
+    List<String> accepted = new ArrayList<>();
+    int jobs = 0;
+    for (int step = 0; step < STEPS; step++) {
+      fleet.timer.advance(Duration.ofMillis(random.nextInt(300)));
+      FakeFleet.Vm vm = vms.get(random.nextInt(vms.size()));
+      FakeWorker worker = fleet.workers.get(random.nextInt(fleet.workers.size()));
+      switch (random.nextInt(9)) {
+        case 0 -> vm.takeShard().ifPresent(owners::add);
+        case 1 -> vm.storeConnection.setFault(any(random, FakeStore.Fault.values()));
+        case 2 -> vm.storeConnection.setFault(FakeStore.Fault.NONE);
+        case 3 -> fleet.network.setPath(vm.name, worker, any(random, FakeNetwork.Path.values()));
+        case 4 -> fleet.network.setPath(vm.name, worker, FakeNetwork.Path.OPEN);
+        case 5 -> {
+          worker.restart();
+          vms.forEach(each -> each.directory.put(worker.entry()));
+        }
+        default -> {
+          if (!owners.isEmpty()) {
+            String id = "job-" + jobs++;
+            owners
+                .get(random.nextInt(owners.size()))
+                .shard()
+                .jobs()
+                .submit(
+                    FakeFleet.job(id, 1 + random.nextInt(5), 120, false),
+                    answer -> {
+                      if (answer instanceof JobAnswer.Accepted) {
+                        accepted.add(id);
+                      }
+                    });
+          }
+        }
+      }
+      assertThat(fleet.observer.problems()).as("seed %d", seed).isEmpty();
+    }
+    heal(fleet, vms);
+    Optional<OwnedVm> last = Optional.empty();
+    for (int attempt = 0; attempt < 5 && last.isEmpty(); attempt++) {
+      last = owners.stream().filter(owner -> !owner.lost()).reduce((one, other) -> other);
+      if (last.isEmpty() || !last.get().shard().ready()) {
+        last = vms.get(attempt % vms.size()).takeShard();
+      }
+    }
+    fleet.timer.advance(Duration.ofSeconds(25));
+
+    assertThat(fleet.observer.problems()).as("seed %d", seed).isEmpty();
+    assertThat(last).as("seed %d", seed).isPresent();
+    for (String id : accepted) {
+      List<JobAnswer> answers = last.get().state(id);
+      fleet.timer.advance(Duration.ofMillis(20));
+      assertThat(answers)
+          .as("seed %d, %s", seed, id)
+          .containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    }
+  }
+
+  private static void heal(FakeFleet fleet, List<FakeFleet.Vm> vms) {
+    for (FakeFleet.Vm vm : vms) {
+      vm.storeConnection.setFault(FakeStore.Fault.NONE);
+      fleet.workers.forEach(
+          worker -> fleet.network.setPath(vm.name, worker, FakeNetwork.Path.OPEN));
+    }
+    fleet.timer.advance(Duration.ofSeconds(6));
+  }
+
+  private static <T> T any(Random random, T[] values) {
+    return values[random.nextInt(values.length)];
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLogTest.java
@@ -0,0 +1,184 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.store.RowCondition;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.RowWrite;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.foundation.timer.DrivenTimer;
+
+/** Guards the one-after-another transactions of an owner against faults of the store. */
+final class ShardLogTest {
+
+  private static final ShardRows ROWS = ShardRows.of(0);
+
+  private final DrivenTimer timer = new DrivenTimer();
+  private final FakeStore store = new FakeStore(timer);
+  private final FakeStore.Connection connection = store.connect();
+  private final LeaseClock clock = new LeaseClock(timer, () -> timer.nanoTime() / 1_000_000);
+  private final List<String> outcomes = new ArrayList<>();
+  private final List<String> losses = new ArrayList<>();
+  private final LeaseRecord lease =
+      new LeaseRecord(1000, 1000, 0, "10.0.0.1:1", 7, ShardLog.SHORTEST_LEASE);
+
+  private ShardLog log() {
+    store.put(ROWS.lease(), lease.encode().toText());
+    long version = store.rows().get(ROWS.lease()).version();
+    return new ShardLog(
+        timer, clock, connection, ROWS, lease, version, clock.now(), () -> losses.add("lost"));
+  }
+
+  private CommitEntry write(String key, boolean optional) {
+    RowKey row = ROWS.job(key);
+    return new CommitEntry(
+        List.of(new RowCondition(ROWS.ended(key), RowCondition.ABSENT)),
+        List.of(new RowWrite(row, Bytes.ofText(key))),
+        List.of(),
+        optional,
+        new CommitEntry.Listener() {
+          @Override
+          public void committed() {
+            outcomes.add(key + " committed");
+          }
+
+          @Override
+          public void conflicted(StoredRow current) {
+            outcomes.add(key + " conflicted");
+          }
+
+          @Override
+          public void dropped(String reason) {
+            outcomes.add(key + " dropped");
+          }
+        });
+  }
+
+  private void run(long millis) {
+    timer.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void entriesThatWaitAreCommittedTogether() {
+    ShardLog log = log();
+    for (int entry = 0; entry < 20; entry++) {
+      log.append(write("key-" + entry, true));
+    }
+    run(30);
+
+    assertThat(outcomes).hasSize(20).allMatch(outcome -> outcome.endsWith("committed"));
+    assertThat(connection.commits()).isLessThanOrEqualTo(3);
+  }
+
+  @Test
+  void transactionWhoseAnswerIsLostIsCommittedOnceAndReported() {
+    ShardLog log = log();
+    connection.setFault(FakeStore.Fault.ANSWER_LOST);
+    log.append(write("key", true));
+    run(100);
+    connection.setFault(FakeStore.Fault.NONE);
+    run(1000);
+
+    assertThat(outcomes).containsExactly("key committed");
+    assertThat(losses).isEmpty();
+  }
+
+  @Test
+  void entryThatMayBeAppliedLateIsNotReportedAsDropped() {
+    ShardLog log = log();
+    connection.setFault(FakeStore.Fault.DONE_LATE);
+    log.append(write("key", true));
+    run(400);
+    connection.setFault(FakeStore.Fault.REFUSED);
+    run(1000);
+    assertThat(outcomes).isEmpty();
+    connection.setFault(FakeStore.Fault.NONE);
+    run(3000);
+
+    assertThat(outcomes).containsExactly("key committed");
+    assertThat(store.rows()).containsKey(ROWS.job("key"));
+  }
+
+  @Test
+  void optionalEntriesAreDroppedAndOthersKeptWhileTheStoreRefuses() {
+    ShardLog log = log();
+    connection.setFault(FakeStore.Fault.REFUSED);
+    log.append(write("optional", true));
+    log.append(write("needed", false));
+    run(100);
+    assertThat(outcomes).containsExactly("optional dropped");
+    connection.setFault(FakeStore.Fault.NONE);
+    run(1000);
+
+    assertThat(outcomes).containsExactly("optional dropped", "needed committed");
+    assertThat(store.rows()).doesNotContainKey(ROWS.job("optional"));
+  }
+
+  @Test
+  void entryWithABrokenConditionDoesNotHoldBackTheOthers() {
+    store.put(ROWS.ended("known"), "ended");
+    ShardLog log = log();
+    log.append(write("first", true));
+    log.append(write("known", true));
+    log.append(write("other", true));
+    run(100);
+
+    assertThat(outcomes)
+        .containsExactlyInAnyOrder("first committed", "known conflicted", "other committed");
+  }
+
+  @Test
+  void logOfADeposedOwnerIsLostAndCommitsNothing() {
+    ShardLog log = log();
+    store.put(
+        ROWS.lease(),
+        new LeaseRecord(2000, 2000, 0, "10.0.0.2:1", 8, ShardLog.SHORTEST_LEASE).encode().toText());
+    log.append(write("key", true));
+    run(100);
+
+    assertThat(losses).containsExactly("lost");
+    assertThat(outcomes).containsExactly("key dropped");
+    assertThat(log.leaseValid()).isFalse();
+    assertThat(store.rows()).doesNotContainKey(ROWS.job("key"));
+  }
+
+  @Test
+  void leaseIsRenewedWithoutWorkAndExpiresWithoutTheStore() {
+    ShardLog log = log();
+    run(5000);
+    assertThat(log.leaseValid()).isTrue();
+    connection.setFault(FakeStore.Fault.SILENT);
+    run(ShardLog.SHORTEST_LEASE.toMillis() + 200);
+
+    assertThat(log.leaseValid()).isFalse();
+  }
+
+  @Test
+  void tokenIsRaisedOnceForSeveralRejectionsOfTheSameToken() {
+    ShardLog log = log();
+    log.fenced(1000);
+    log.fenced(1000);
+    run(50);
+    log.fenced(1000);
+    run(50);
+
+    assertThat(log.token()).isEqualTo(2000);
+  }
+
+  @Test
+  void releasedShardNamesNoOwner() throws Exception {
+    ShardLog log = log();
+    log.append(write("key", true));
+    log.release(() -> outcomes.add("released"));
+    run(100);
+
+    assertThat(outcomes).containsExactly("key committed", "released");
+    assertThat(LeaseRecord.decode(store.rows().get(ROWS.owner()).value()).vacant()).isTrue();
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -0,0 +1,395 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.FakeNetwork;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.OwnedVm;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Plays jobs on one owner after another, and checks what callers and workers see. */
+final class ShardTenureTest {
+
+  private static final Duration TASK_TIME = Duration.ofMillis(100);
+
+  private final FakeFleet fleet = new FakeFleet(4, TASK_TIME);
+
+  private void run(long millis) {
+    fleet.timer.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void keptJobIsAcceptedWhenStoredAndRunsEachTaskOnce() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 5, 100, false));
+    run(30);
+    assertThat(answers).containsExactly(new JobAnswer.Accepted());
+    run(400);
+
+    assertThat(owner.state("job-1")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(5);
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void bestEffortJobIsAnsweredAtItsEndWithoutTheStore() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    owner.vm().storeConnection.setFault(FakeStore.Fault.REFUSED);
+    run(3000);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 3, 100, true));
+    run(50);
+    assertThat(answers).isEmpty();
+    run(200);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+  }
+
+  @Test
+  void keptJobIsRefusedAtOnceWhileTheStoreIsAwayAndNeverRuns() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    owner.vm().storeConnection.setFault(FakeStore.Fault.REFUSED);
+    run(1000);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 3, 100, false));
+    owner.vm().storeConnection.setFault(FakeStore.Fault.NONE);
+    run(2000);
+
+    assertThat(answers)
+        .containsExactly(
+            new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, Duration.ofSeconds(1)));
+    assertThat(fleet.observer.starts()).isEmpty();
+  }
+
+  @Test
+  void duplicateOfKeptJobRemainsOneJobAlsoUnderTheNextOwner() {
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 2, 100, false));
+    run(500);
+    first.kill(fleet.network);
+    OwnedVm second = fleet.vm("second").takeShard().orElseThrow();
+    run(50);
+
+    List<JobAnswer> answers = second.submit(FakeFleet.job("job-1", 2, 100, false));
+    run(500);
+
+    assertThat(answers).containsExactly(new JobAnswer.Accepted());
+    assertThat(second.state("job-1")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(2);
+  }
+
+  @Test
+  void nextOwnerContinuesKeptJobsWithoutRunningATaskTwice() {
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 12, 100, false));
+    run(150);
+    first.kill(fleet.network);
+
+    OwnedVm second = fleet.vm("second").takeShard().orElseThrow();
+    run(4000);
+
+    assertThat(second.state("job-1")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void failedTaskIsTriedElsewhereAndTheJobFailsAfterItsAttempts() {
+    fleet.workers.forEach(worker -> worker.setFailing(true));
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 1, 100, true));
+    run(1000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.starts()).hasSize(FakeFleet.QUEUE.attempts());
+    assertThat(
+            fleet.observer.starts().stream()
+                .map(start -> start.substring(0, start.indexOf(' ')))
+                .distinct())
+        .hasSize(FakeFleet.QUEUE.attempts());
+  }
+
+  @Test
+  void cancelledJobStopsAndDoesNotStartAgain() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    owner.submit(FakeFleet.job("job-1", 20, 100, false));
+    run(60);
+
+    List<JobAnswer> answers = new ArrayList<>();
+    owner.shard().jobs().cancel("job-1", answers::add);
+    run(30);
+    int started = fleet.observer.starts().size();
+    run(1000);
+
+    assertThat(answers).containsExactly(new JobAnswer.Cancelled());
+    assertThat(owner.state("job-1")).containsExactly(new JobAnswer.State(JobState.CANCELLED));
+    assertThat(fleet.observer.starts()).hasSize(started);
+    assertThat(fleet.workers.stream().mapToInt(FakeWorker::runningTasks).sum()).isZero();
+  }
+
+  @Test
+  void unansweredStartIsExcludedBeforeTheTaskStartsElsewhere() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    FakeWorker late = fleet.workers.getFirst();
+    fleet.network.setPath("first", late, FakeNetwork.Path.LATE);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 8, 100, true));
+    run(5000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void startWhoseAnswerIsLostIsNotRepeatedWhileItMayRun() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    fleet.workers.forEach(
+        worker -> fleet.network.setPath("first", worker, FakeNetwork.Path.ANSWERS_LOST));
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 4, 100, true));
+    run(300);
+    fleet.workers.forEach(worker -> fleet.network.setPath("first", worker, FakeNetwork.Path.OPEN));
+    run(3000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void workerThatStartsAgainUnderItsIdentityLosesItsRunsAndGetsNewOnes() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 8, 100, true));
+    run(50);
+    fleet.workers.getFirst().restart();
+    owner.vm().directory.put(fleet.workers.getFirst().entry());
+    run(2500);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void drainingWorkerGetsNoFurtherTasks() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    FakeWorker leaving = fleet.workers.getFirst();
+    leaving.setDraining(true);
+    owner.vm().directory.put(leaving.entry());
+
+    owner.submit(FakeFleet.job("job-1", 10, 100, true));
+    run(1000);
+
+    assertThat(fleet.observer.starts()).hasSize(10).noneMatch(start -> start.startsWith("a0 "));
+  }
+
+  @Test
+  void bestEffortJobEndsWhenItsEntryVmIsSilent() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    EntryVm entry = new EntryVm(new EntryId(77), "10.0.0.7:1", "a");
+    owner.vm().contacts.heard(entry);
+    Submission submission = FakeFleet.job("job-1", 2, 5000, true);
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(5)));
+    owner.submit(
+        new Submission(
+            submission.jobId(),
+            submission.queue(),
+            submission.spec(),
+            submission.patience(),
+            entry.id(),
+            false));
+    run(500);
+    assertThat(fleet.workers.stream().mapToInt(FakeWorker::runningTasks).sum()).isEqualTo(2);
+
+    // Its client sends the job again 1.3 s after it lost its connection.
+    run(800);
+
+    assertThat(fleet.workers.stream().mapToInt(FakeWorker::runningTasks).sum()).isZero();
+  }
+
+  @Test
+  void repeatedJobContinuesTheRunsOfTheOwnerBefore() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(2500)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 2500, true));
+    run(50);
+    List<JobAnswer> answers = new ArrayList<>();
+    first.shard().release(() -> {});
+    run(20);
+    first.shard().close();
+    List<ShardLease.Result> results = new ArrayList<>();
+    FakeFleet.Vm second = fleet.vm("second");
+    second.lease().take(Optional.empty(), results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(() -> {});
+    run(60);
+    shard.jobs().submit(FakeFleet.job("job-1", 4, 2500, true).asRepeated(), answers::add);
+    run(3000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(4);
+  }
+
+  @Test
+  void jobThatComesWhenItsOldRunsAreBeingStoppedWaitsForTheirEnd() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 2, 1000, true));
+    run(50);
+    first.kill(fleet.network);
+    List<ShardLease.Result> results = new ArrayList<>();
+    FakeFleet.Vm second = fleet.vm("second");
+    second.lease().take(Optional.of(storedLease()), results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(() -> {});
+    run(590);
+    // The stop of the run does not arrive, so the run goes on until its lease is over.
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    fleet.workers.getFirst().setDraining(true);
+    second.directory.put(fleet.workers.getFirst().entry());
+    run(40);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 2, 1000, true).asRepeated(), answers::add);
+    run(4000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void repeatedJobWaitsWhileAWorkerMayStillRunIt() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 1000, true));
+    run(50);
+    // The second owner cannot reach a worker that goes on running under the first one's lease.
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    first.kill(fleet.network);
+    List<ShardLease.Result> results = new ArrayList<>();
+    FakeFleet.Vm second = fleet.vm("second");
+    second.lease().take(Optional.of(storedLease()), results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(() -> {});
+    run(20);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 4, 1000, true).asRepeated(), answers::add);
+    run(6000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void keptTaskOnAWorkerThatTheNextOwnerCannotReachIsNotStartedElsewhereWhileItMayRun() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(900)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 900, false));
+    run(50);
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    first.kill(fleet.network);
+    List<ShardLease.Result> results = new ArrayList<>();
+    fleet.vm("second").lease().take(Optional.of(storedLease()), results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(() -> {});
+    run(9000);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().state("job-1", answers::add);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  private LeaseRecord storedLease() {
+    try {
+      return LeaseRecord.decode(fleet.store.rows().get(ShardRows.of(0).lease()).value());
+    } catch (MalformedRecordException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Test
+  void endsAreAcknowledgedWithinTheTimeOfTheRules() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    owner.submit(FakeFleet.job("job-1", 6, 100, false));
+    owner.submit(FakeFleet.job("job-2", 6, 100, true));
+    run(4000);
+
+    assertThat(fleet.workers.stream().mapToInt(FakeWorker::listedEnds).sum()).isZero();
+  }
+
+  @Test
+  void ownerWithoutAValidLeaseStartsNoKeptTask() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    owner.submit(FakeFleet.job("job-1", 40, 100, false));
+    run(50);
+    owner.vm().storeConnection.setFault(FakeStore.Fault.SILENT);
+    run(1000);
+    int started = fleet.observer.starts().size();
+    run(2000);
+
+    assertThat(fleet.observer.starts()).hasSize(started);
+  }
+
+  @Test
+  void overloadIsRefusedAtOnceAndSaysWhenToComeBack() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    List<JobAnswer> last = List.of();
+    for (int job = 0; job < 200; job++) {
+      last = owner.submit(FakeFleet.job("job-" + job, 8, 100, true));
+    }
+
+    assertThat(last).hasSize(1);
+    assertThat(last.getFirst()).isInstanceOf(JobAnswer.Refused.class);
+    JobAnswer.Refused refused = (JobAnswer.Refused) last.getFirst();
+    assertThat(refused.kind()).isEqualTo(ErrorKind.OVERLOADED);
+    assertThat(refused.retryAfter()).isPositive();
+  }
+
+  @Test
+  void suspendedOwnerDoesNotTrustItsLeaseWhenItWakes() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    // Monotonic time stands still during a suspension, the time of day does not.
+    fleet.shiftWallClock(Duration.ofSeconds(5));
+    owner.vm().storeConnection.setFault(FakeStore.Fault.SILENT);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 1, 100, false));
+
+    assertThat(answers).hasSize(1);
+    assertThat(answers.getFirst()).isInstanceOf(JobAnswer.Refused.class);
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/store/TableFollowerTest.java
@@ -0,0 +1,110 @@
+package org.lovagerack.fleet.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.foundation.timer.DrivenTimer;
+
+/** Guards followers against dropped history, outages and rows that go away meanwhile. */
+final class TableFollowerTest {
+
+  private final DrivenTimer timer = new DrivenTimer();
+  private final FakeStore store = new FakeStore(timer);
+  private final FakeStore.Connection connection = store.connect();
+  private final Map<String, String> seen = new TreeMap<>();
+  private int loads;
+  private final TableFollower follower =
+      new TableFollower(
+          timer,
+          connection,
+          "table",
+          List.of(""),
+          Duration.ofMillis(200),
+          Duration.ZERO,
+          new TableFollower.Listener() {
+            @Override
+            public void changed(StoredRow row) {
+              seen.put(row.key().key(), row.value().toText());
+            }
+
+            @Override
+            public void removed(RowKey key) {
+              seen.remove(key.key());
+            }
+
+            @Override
+            public void loaded() {
+              loads++;
+            }
+          });
+
+  private static RowKey key(String key) {
+    return new RowKey("table", "", key);
+  }
+
+  private void run(long millis) {
+    timer.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void followsRowsThatComeChangeAndGo() {
+    store.put(key("a"), "1");
+    follower.start();
+    run(100);
+    store.put(key("a"), "2");
+    store.put(key("b"), "1");
+    run(200);
+    assertThat(seen).containsExactly(Map.entry("a", "2"), Map.entry("b", "1"));
+    store.remove(key("a"));
+    run(200);
+
+    assertThat(seen).containsExactly(Map.entry("b", "1"));
+  }
+
+  @Test
+  void readsTheTableAgainWhenTheHistoryIsGone() {
+    store.put(key("a"), "1");
+    store.put(key("b"), "1");
+    follower.start();
+    run(100);
+    store.remove(key("a"));
+    store.put(key("b"), "2");
+    store.forgetHistory();
+    run(500);
+
+    assertThat(loads).isGreaterThan(1);
+    assertThat(seen).containsExactly(Map.entry("b", "2"));
+  }
+
+  @Test
+  void catchesUpAfterAnOutage() {
+    store.put(key("a"), "1");
+    follower.start();
+    run(100);
+    connection.setFault(FakeStore.Fault.REFUSED);
+    run(300);
+    store.put(key("a"), "2");
+    run(2000);
+    assertThat(seen).containsExactly(Map.entry("a", "1"));
+    connection.setFault(FakeStore.Fault.NONE);
+    run(700);
+
+    assertThat(seen).containsExactly(Map.entry("a", "2"));
+  }
+
+  @Test
+  void stoppedFollowerReportsNothing() {
+    follower.start();
+    run(100);
+    follower.stop();
+    store.put(key("a"), "1");
+    run(1000);
+
+    assertThat(seen).isEmpty();
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
@@ -0,0 +1,181 @@
+package org.lovagerack.fleet.support;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.lovagerack.fleet.configuration.ConfigurationHolder;
+import org.lovagerack.fleet.configuration.FleetConfiguration;
+import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.fleet.configuration.RequestLimits;
+import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.job.StepSpec;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.EntryContacts;
+import org.lovagerack.fleet.shard.FleetBounds;
+import org.lovagerack.fleet.shard.LeaseClock;
+import org.lovagerack.fleet.shard.OwnedShardFactory;
+import org.lovagerack.fleet.shard.ShardLease;
+import org.lovagerack.fleet.shard.ShardRows;
+import org.lovagerack.fleet.shard.TenureCounters;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.store.TableFollower;
+import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.fleet.worker.WorkerFeed;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.timer.DrivenTimer;
+
+/** Store, workers and entry VMs on one driven timer. */
+public final class FakeFleet {
+
+  public static final Queue QUEUE =
+      new Queue(
+          "queue-1", "host.example", "/queue/", "service-1", 0, 3, 1.6, Duration.ofMillis(60));
+
+  public final DrivenTimer timer = new DrivenTimer();
+  public final FakeStore store = new FakeStore(timer);
+  public final RunObserver observer = new RunObserver();
+  public final FakeNetwork network = new FakeNetwork(timer);
+  public final List<FakeWorker> workers = new ArrayList<>();
+  private long wallShiftMillis;
+
+  /** Creates workers that take two tasks each, half of them in the failure domains a and b. */
+  public FakeFleet(int workerCount, Duration taskTime) {
+    for (int worker = 0; worker < workerCount; worker++) {
+      String id = (worker % 2 == 0 ? "a" : "b") + worker;
+      FakeWorker fake = new FakeWorker(timer, observer, id, taskTime);
+      workers.add(fake);
+      network.add(fake);
+    }
+  }
+
+  /** Moves the time of day, as a suspension of all VMs does. */
+  public void shiftWallClock(Duration shift) {
+    wallShiftMillis += shift.toMillis();
+  }
+
+  /** Returns a VM that is not started. */
+  public Vm vm(String name) {
+    return new Vm(name);
+  }
+
+  /** Returns a submission of tasks of one step. */
+  public static Submission job(String id, int tasks, long estimatedMillis, boolean bestEffort) {
+    StepSpec step =
+        new StepSpec(
+            tasks,
+            new Resources(6800, 64, 0),
+            Duration.ofMillis(estimatedMillis),
+            List.of(),
+            "",
+            "",
+            0);
+    return new Submission(
+        id,
+        QUEUE,
+        new JobSpec("work of " + id, List.of(step), bestEffort),
+        Duration.ofSeconds(5),
+        new EntryId(1),
+        false);
+  }
+
+  /** What one entry VM needs to own shards. */
+  public final class Vm {
+    public final String name;
+    public final EntryId id;
+    public final FakeStore.Connection storeConnection = store.connect();
+    public final WorkerDirectory directory = new WorkerDirectory();
+    public final LeaseClock clock =
+        new LeaseClock(timer, () -> timer.nanoTime() / 1_000_000 + wallShiftMillis);
+    public final EntryContacts contacts;
+    public final OwnedShardFactory parts;
+
+    private Vm(String name) {
+      this.name = name;
+      this.id = new EntryId(name.hashCode());
+      this.contacts = new EntryContacts(clock, new EntryId(1));
+      ConfigurationHolder configuration = new ConfigurationHolder();
+      configuration.offer(new FleetConfiguration(1, List.of(QUEUE), new RequestLimits(100_000)));
+      TableFollower idle =
+          new TableFollower(
+              timer,
+              storeConnection,
+              "none",
+              List.of(""),
+              Duration.ofSeconds(1),
+              Duration.ofSeconds(1),
+              new IgnoringListener());
+      parts =
+          new OwnedShardFactory(
+              timer,
+              () -> timer.nanoTime() / 1_000_000 + wallShiftMillis,
+              clock,
+              storeConnection,
+              network.callsOf(name),
+              new WorkerFeed(directory, idle),
+              contacts,
+              configuration,
+              new FleetBounds(
+                  Duration.ofSeconds(1), Duration.ofSeconds(3), Duration.ofSeconds(120)),
+              new NoCounters());
+      workers.forEach(worker -> directory.put(worker.entry()));
+    }
+
+    public ShardLease lease() {
+      return new ShardLease(
+          timer, clock, storeConnection, ShardRows.of(0), name, id.incarnation(), parts);
+    }
+
+    /** Takes the shard, from whoever holds it, and starts to work for it. */
+    public Optional<OwnedVm> takeShard() {
+      List<OwnedVm> taken = new ArrayList<>();
+      lease()
+          .takeIfUnrenewed(
+              result -> {
+                if (result instanceof ShardLease.Taken success) {
+                  taken.add(new OwnedVm(this, success.shard()));
+                }
+              });
+      for (int step = 0; step < 60 && taken.isEmpty(); step++) {
+        timer.advance(Duration.ofMillis(100));
+      }
+      taken.forEach(OwnedVm::start);
+      return taken.stream().findFirst();
+    }
+  }
+
+  private static final class NoCounters implements TenureCounters {
+    @Override
+    public void accepted() {}
+
+    @Override
+    public void refused(ErrorKind kind) {}
+
+    @Override
+    public void abandoned() {}
+
+    @Override
+    public void startDelay(Duration delay) {}
+
+    @Override
+    public void taskStarted() {}
+
+    @Override
+    public void ended(JobState state, Duration responseTime) {}
+  }
+
+  private static final class IgnoringListener implements TableFollower.Listener {
+    @Override
+    public void changed(StoredRow row) {}
+
+    @Override
+    public void removed(RowKey key) {}
+
+    @Override
+    public void loaded() {}
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeStore.java
@@ -0,0 +1,204 @@
+package org.lovagerack.fleet.support;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.lovagerack.fleet.store.CommitOutcome;
+import org.lovagerack.fleet.store.ReadOutcome;
+import org.lovagerack.fleet.store.RowCondition;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.RowStore;
+import org.lovagerack.fleet.store.RowTransaction;
+import org.lovagerack.fleet.store.RowWrite;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.foundation.timer.TimerService;
+
+/** A linearizable store on the driven timer, with the faults of a real one. */
+public final class FakeStore {
+
+  /** What becomes of a call. */
+  public enum Fault {
+    NONE,
+    /** Nothing is done, and the caller is told so. */
+    REFUSED,
+    /** Nothing is done, and the caller hears nothing. */
+    SILENT,
+    /** Writes are done, and the caller hears nothing. */
+    ANSWER_LOST,
+    /** Writes are done two seconds later if their conditions still hold. */
+    DONE_LATE
+  }
+
+  public static final Duration LATENCY = Duration.ofMillis(4);
+  private static final Duration LATENESS = Duration.ofSeconds(2);
+
+  private static final Comparator<RowKey> ORDER =
+      Comparator.comparing(RowKey::table)
+          .thenComparing(RowKey::partition)
+          .thenComparing(RowKey::key);
+
+  private final TimerService timer;
+  private final TreeMap<RowKey, StoredRow> rows = new TreeMap<>(ORDER);
+  private final List<StoredRow> history = new ArrayList<>();
+  private long version;
+  private long forgottenBefore;
+
+  public FakeStore(TimerService timer) {
+    this.timer = timer;
+  }
+
+  /** Returns a connection to the store with faults of its own. */
+  public Connection connect() {
+    return new Connection();
+  }
+
+  public Map<RowKey, StoredRow> rows() {
+    return rows;
+  }
+
+  /** Writes a row at once, as an outside writer does. */
+  public void put(RowKey key, String text) {
+    version++;
+    apply(new StoredRow(key, Bytes.ofText(text), version, false));
+  }
+
+  public void remove(RowKey key) {
+    version++;
+    apply(new StoredRow(key, Bytes.empty(), version, true));
+  }
+
+  public void forgetHistory() {
+    history.clear();
+    forgottenBefore = version;
+  }
+
+  private void apply(StoredRow row) {
+    if (row.deleted()) {
+      rows.remove(row.key());
+    } else {
+      rows.put(row.key(), row);
+    }
+    history.add(row);
+  }
+
+  private CommitOutcome perform(RowTransaction transaction) {
+    List<StoredRow> current = new ArrayList<>();
+    boolean holds = true;
+    for (RowCondition condition : transaction.conditions()) {
+      StoredRow row = rows.get(condition.key());
+      holds &= (row == null ? RowCondition.ABSENT : row.version()) == condition.version();
+      if (row != null) {
+        current.add(row);
+      }
+    }
+    if (!holds) {
+      return new CommitOutcome.Conflict(current);
+    }
+    version++;
+    for (RowWrite write : transaction.writes()) {
+      apply(new StoredRow(write.key(), write.value(), version, false));
+    }
+    for (RowKey key : transaction.removals()) {
+      apply(new StoredRow(key, Bytes.empty(), version, true));
+    }
+    return new CommitOutcome.Committed(version);
+  }
+
+  /** A client's connection. */
+  public final class Connection implements RowStore {
+    private Fault fault = Fault.NONE;
+    private int commits;
+
+    public void setFault(Fault newFault) {
+      fault = newFault;
+    }
+
+    public int commits() {
+      return commits;
+    }
+
+    @Override
+    public void commit(
+        RowTransaction transaction, Duration timeout, Consumer<CommitOutcome> callback) {
+      commits++;
+      switch (fault) {
+        case NONE -> timer.after(LATENCY, () -> callback.accept(perform(transaction)));
+        case REFUSED ->
+            timer.after(LATENCY, () -> callback.accept(new CommitOutcome.NotApplied("status 503")));
+        case SILENT ->
+            timer.after(timeout, () -> callback.accept(new CommitOutcome.Unknown("silent")));
+        case ANSWER_LOST -> {
+          timer.after(LATENCY, () -> perform(transaction));
+          timer.after(timeout, () -> callback.accept(new CommitOutcome.Unknown("lost")));
+        }
+        case DONE_LATE -> {
+          timer.after(LATENESS, () -> perform(transaction));
+          timer.after(timeout, () -> callback.accept(new CommitOutcome.Unknown("late")));
+        }
+      }
+    }
+
+    @Override
+    public void read(
+        String table,
+        String partition,
+        String from,
+        int limit,
+        Duration timeout,
+        Consumer<ReadOutcome> callback) {
+      if (failed(timeout, callback)) {
+        return;
+      }
+      timer.after(
+          LATENCY,
+          () -> {
+            List<StoredRow> found =
+                rows.values().stream()
+                    .filter(
+                        row ->
+                            row.key().table().equals(table)
+                                && row.key().partition().equals(partition)
+                                && row.key().key().compareTo(from) >= 0)
+                    .toList();
+            boolean more = found.size() > limit;
+            callback.accept(
+                new ReadOutcome.Rows(more ? found.subList(0, limit) : found, more, version));
+          });
+    }
+
+    @Override
+    public void feed(String table, long after, Duration wait, Consumer<ReadOutcome> callback) {
+      if (failed(wait, callback)) {
+        return;
+      }
+      timer.after(
+          Duration.ofMillis(50),
+          () -> {
+            if (after < forgottenBefore) {
+              callback.accept(new ReadOutcome.HistoryGone());
+              return;
+            }
+            List<StoredRow> found =
+                history.stream()
+                    .filter(row -> row.key().table().equals(table) && row.version() > after)
+                    .toList();
+            callback.accept(new ReadOutcome.Rows(found, false, version));
+          });
+    }
+
+    private boolean failed(Duration timeout, Consumer<ReadOutcome> callback) {
+      if (fault == Fault.REFUSED || fault == Fault.SILENT) {
+        timer.after(
+            fault == Fault.REFUSED ? LATENCY : timeout,
+            () -> callback.accept(new ReadOutcome.Unavailable("fault " + fault)));
+        return true;
+      }
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
@@ -0,0 +1,205 @@
+package org.lovagerack.fleet.support;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.job.TaskId;
+import org.lovagerack.fleet.job.TaskRun;
+import org.lovagerack.fleet.worker.OrderOutcome;
+import org.lovagerack.fleet.worker.RunEnd;
+import org.lovagerack.fleet.worker.StartOrder;
+import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerId;
+import org.lovagerack.fleet.worker.WorkerReport;
+import org.lovagerack.foundation.timer.TimerService;
+
+/** A worker as the platform describes it: lease, fencing token, list of ends. */
+public final class FakeWorker {
+
+  private static final Duration LONGEST_LEASE = Duration.ofSeconds(1);
+  private static final Duration TICK = Duration.ofMillis(2);
+
+  private final TimerService timer;
+  private final RunObserver observer;
+  private final String id;
+  private final Map<TaskId, Active> running = new LinkedHashMap<>();
+  private final Map<TaskId, Integer> newestOver = new HashMap<>();
+  private final List<RunEnd> ends = new ArrayList<>();
+  private Duration taskTime;
+  private boolean failing;
+  private boolean draining;
+  private long incarnation;
+  private long startedNanos;
+  private long highestToken;
+  private long nextEnd;
+  private long leaseUntilMillis;
+
+  private record Active(int run, long endsAtMillis) {}
+
+  public FakeWorker(TimerService timer, RunObserver observer, String id, Duration taskTime) {
+    this.timer = timer;
+    this.observer = observer;
+    this.id = id;
+    this.taskTime = taskTime;
+    start();
+    timer.every(TICK, this::tick);
+  }
+
+  public WorkerEntry entry() {
+    return new WorkerEntry(
+        new WorkerId(id),
+        "service-1",
+        id + ":1",
+        id.substring(0, 1),
+        draining,
+        new Resources(16_000, 64_000, 0),
+        Set.of("a"),
+        incarnation);
+  }
+
+  public void setTaskTime(Duration newTaskTime) {
+    taskTime = newTaskTime;
+  }
+
+  public void setFailing(boolean newFailing) {
+    failing = newFailing;
+  }
+
+  public void setDraining(boolean newDraining) {
+    draining = newDraining;
+  }
+
+  /** Loses everything and starts again under the same identity. */
+  public void restart() {
+    running.forEach((task, active) -> observer.over(id, new TaskRun(task, active.run()), false));
+    start();
+  }
+
+  public int runningTasks() {
+    return running.size();
+  }
+
+  public int listedEnds() {
+    return ends.size();
+  }
+
+  private void start() {
+    running.clear();
+    newestOver.clear();
+    ends.clear();
+    highestToken = 0;
+    nextEnd = 1;
+    leaseUntilMillis = 0;
+    incarnation++;
+    startedNanos = timer.nanoTime();
+  }
+
+  private long clockMillis() {
+    return Duration.ofNanos(timer.nanoTime() - startedNanos).toMillis() + 1;
+  }
+
+  OrderOutcome start(StartOrder order) {
+    if (order.fencingToken() < highestToken) {
+      return rejected(OrderOutcome.Reason.FENCED);
+    }
+    highestToken = order.fencingToken();
+    TaskRun run = order.run();
+    if (order.deadlineMillis() <= clockMillis()) {
+      return rejected(OrderOutcome.Reason.EXPIRED);
+    }
+    Active known = running.get(run.task());
+    if (known != null && known.run() == run.run()) {
+      return new OrderOutcome.Done(clockMillis());
+    }
+    if (known != null || run.run() <= newestOver.getOrDefault(run.task(), 0)) {
+      return rejected(OrderOutcome.Reason.SUPERSEDED);
+    }
+    if (running.size() >= 2) {
+      return rejected(OrderOutcome.Reason.NO_ROOM);
+    }
+    extend(OptionalLong.of(order.deadlineMillis()));
+    running.put(run.task(), new Active(run.run(), clockMillis() + taskTime.toMillis()));
+    observer.started(id, run);
+    return new OrderOutcome.Done(clockMillis());
+  }
+
+  OrderOutcome stop(TaskRun run, long token) {
+    if (token < highestToken) {
+      return rejected(OrderOutcome.Reason.FENCED);
+    }
+    highestToken = token;
+    end(run, RunEnd.Kind.STOPPED);
+    return new OrderOutcome.Done(clockMillis());
+  }
+
+  boolean fences(long token) {
+    if (token < highestToken) {
+      return true;
+    }
+    highestToken = token;
+    return false;
+  }
+
+  void extend(OptionalLong deadlineMillis) {
+    long longest = clockMillis() + LONGEST_LEASE.toMillis();
+    deadlineMillis.ifPresent(
+        deadline -> leaseUntilMillis = Math.max(leaseUntilMillis, Math.min(deadline, longest)));
+  }
+
+  void acknowledge(long through) {
+    for (RunEnd end : List.copyOf(ends)) {
+      if (end.number() <= through) {
+        ends.remove(end);
+        observer.acknowledged(id, end);
+      }
+    }
+  }
+
+  WorkerReport report() {
+    List<WorkerReport.RunningTask> list = new ArrayList<>();
+    running.forEach(
+        (task, active) ->
+            list.add(new WorkerReport.RunningTask(new TaskRun(task, active.run()), 0)));
+    return new WorkerReport(clockMillis(), incarnation, list, ends);
+  }
+
+  boolean hasEnds() {
+    return !ends.isEmpty();
+  }
+
+  private void tick() {
+    long now = clockMillis();
+    running.entrySet().stream()
+        .toList()
+        .forEach(
+            entry -> {
+              TaskRun run = new TaskRun(entry.getKey(), entry.getValue().run());
+              if (now >= leaseUntilMillis) {
+                end(run, RunEnd.Kind.LAPSED);
+              } else if (now >= entry.getValue().endsAtMillis()) {
+                end(run, failing ? RunEnd.Kind.FAILED : RunEnd.Kind.DONE);
+              }
+            });
+  }
+
+  private void end(TaskRun run, RunEnd.Kind kind) {
+    newestOver.merge(run.task(), run.run(), Math::max);
+    Active active = running.get(run.task());
+    if (active != null && active.run() == run.run()) {
+      running.remove(run.task());
+      ends.add(new RunEnd(nextEnd, run, kind));
+      nextEnd++;
+      observer.over(id, run, kind == RunEnd.Kind.DONE);
+    }
+  }
+
+  private static OrderOutcome rejected(OrderOutcome.Reason reason) {
+    return new OrderOutcome.Rejected(reason, "fake");
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/OwnedVm.java
@@ -0,0 +1,62 @@
+package org.lovagerack.fleet.support;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.OwnedShard;
+
+/** An entry VM that owns the shard. */
+public final class OwnedVm {
+
+  private final FakeFleet.Vm vm;
+  private final OwnedShard shard;
+  private boolean lost;
+
+  OwnedVm(FakeFleet.Vm vm, OwnedShard shard) {
+    this.vm = vm;
+    this.shard = shard;
+  }
+
+  void start() {
+    shard.start(
+        () -> {
+          lost = true;
+          shard.close();
+        });
+  }
+
+  public FakeFleet.Vm vm() {
+    return vm;
+  }
+
+  public OwnedShard shard() {
+    return shard;
+  }
+
+  /** Returns whether the shard was lost to another owner. */
+  public boolean lost() {
+    return lost;
+  }
+
+  /** Submits a job; the returned list receives the answer. */
+  public List<JobAnswer> submit(Submission submission) {
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(submission, answers::add);
+    return answers;
+  }
+
+  /** Asks for a state; the returned list receives the answer. */
+  public List<JobAnswer> state(String jobId) {
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().state(jobId, answers::add);
+    return answers;
+  }
+
+  /** Ends the process without a word. */
+  public void kill(FakeNetwork network) {
+    network.silence(vm.name);
+    vm.storeConnection.setFault(FakeStore.Fault.SILENT);
+    shard.close();
+  }
+}
--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -146,11 +146,6 @@
             });
   }
 
-  /** Returns the port for clients; valid once started. */
-  int clientPort() {
-    return clientServer.actualPort();
-  }
-
   /**
    * Stops as planned: gives the shards up, goes on serving open connections while clients move to
    * other VMs, and answers what is still open at the end.
