--- /dev/null
+++ b/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
@@ -0,0 +1,323 @@
+package org.lovagerack.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.eventloop.EventLoopTimer;
+import org.lovagerack.node.settings.NodeSettings;
+import org.lovagerack.platform.standin.PlatformEntries;
+import org.lovagerack.platform.standin.StoreStandIn;
+import org.lovagerack.platform.standin.WorkerStandIn;
+
+/** Two entry VMs on loopback with a stand-in of the platform: the whole path of a client's job. */
+final class EntryNodeTest {
+
+  /** Only ends a test that hangs; nothing is measured against it. */
+  private static final long HANG_SECONDS = 60;
+
+  private static final Duration TASK_TIME = Duration.ofMillis(40);
+
+  private final Vertx vertx = NodeMain.vertx();
+  private final Context context = vertx.getOrCreateContext();
+  private final HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(64));
+  private final StoreStandIn store = new StoreStandIn(vertx);
+  private final List<WorkerStandIn> workers = new ArrayList<>();
+  private final List<EntryNode> nodes = new ArrayList<>();
+  private final List<Integer> clientPorts = new ArrayList<>();
+  private final List<Integer> readinessPorts = new ArrayList<>();
+
+  @BeforeEach
+  void start() throws Exception {
+    int storePort = await(store::listen);
+    for (int worker = 0; worker < 3; worker++) {
+      WorkerStandIn standIn =
+          await(() -> Future.succeededFuture(new WorkerStandIn(vertx, TASK_TIME)));
+      int port = await(standIn::listen);
+      workers.add(standIn);
+      String name = "worker-" + worker;
+      run(() -> store.put("servers", "", name, PlatformEntries.worker(port, "ready")));
+    }
+    for (int node = 0; node < 2; node++) {
+      startNode("vm-" + node, storePort);
+    }
+  }
+
+  private void startNode(String name, int storePort) throws Exception {
+    int clientPort = freePort();
+    int readinessPort = freePort();
+    NodeSettings settings =
+        new NodeSettings(
+            name,
+            "zone-1",
+            "127.0.0.1:" + clientPort,
+            "127.0.0.1:" + readinessPort,
+            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + storePort,
+            1,
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(120),
+            Duration.ofSeconds(2));
+    await(
+        () -> {
+          EntryNode node =
+              new EntryNode(
+                  vertx,
+                  settings,
+                  new EventLoopTimer(vertx, context),
+                  new SplittableRandom(name.hashCode()),
+                  name.hashCode());
+          nodes.add(node);
+          return node.start().map(true);
+        });
+    clientPorts.add(clientPort);
+    readinessPorts.add(readinessPort);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    await(vertx::close);
+  }
+
+  @Test
+  void beforeTheFirstConfigurationNothingIsServed() throws Exception {
+    assertThat(call(0, HttpMethod.POST, "/queue/" + id(1), job(1, true)).status()).isEqualTo(503);
+    assertThat(ready(0)).isFalse();
+  }
+
+  @Test
+  void keptJobIsStoredRunAndAnsweredByEveryNode() throws Exception {
+    configure(1, 3);
+    Reply accepted = call(0, HttpMethod.POST, "/queue/" + id(1), job(3, false));
+    assertThat(accepted.status()).isEqualTo(200);
+
+    eventually(1, "/queue/" + id(1), "completed");
+    eventually(0, "/queue/" + id(1), "completed");
+    assertThat(call(1, HttpMethod.POST, "/queue/" + id(1), job(3, false)).status()).isEqualTo(200);
+    assertThat(call(0, HttpMethod.GET, "/queue/", "").text("pending")).isEqualTo("0");
+    assertThat(startedTasks()).hasSize(3).allMatch(task -> task.startsWith(id(1) + ".0.0."));
+  }
+
+  @Test
+  void bestEffortJobIsAnsweredWhenItHasEndedAlsoWhileTheStoreIsAway() throws Exception {
+    configure(1, 3);
+    assertThat(call(0, HttpMethod.POST, "/queue/" + id(1), job(2, true)).text("state"))
+        .isEqualTo("completed");
+    run(() -> store.setFault(StoreStandIn.Fault.REFUSES));
+
+    assertThat(call(1, HttpMethod.POST, "/queue/" + id(2), job(2, true)).text("state"))
+        .isEqualTo("completed");
+    assertThat(call(1, HttpMethod.POST, "/queue/" + id(3), job(2, false)).status()).isEqualTo(503);
+  }
+
+  @Test
+  void jobWhoseTasksFailIsShownAsFailedAfterItsAttempts() throws Exception {
+    configure(1, 2);
+    run(() -> workers.forEach(worker -> worker.setFault(WorkerStandIn.Fault.FAILS_TASKS)));
+
+    assertThat(call(0, HttpMethod.POST, "/queue/" + id(1), job(1, true)).text("state"))
+        .isEqualTo("failed");
+    assertThat(startedTasks()).hasSize(2);
+  }
+
+  @Test
+  void cancelledJobIsShownAsCancelledAndUnknownJobsAreGone() throws Exception {
+    configure(1, 3);
+    call(0, HttpMethod.POST, "/queue/" + id(1), job(30, false));
+    assertThat(call(1, HttpMethod.DELETE, "/queue/" + id(1), "").status()).isEqualTo(200);
+
+    eventually(0, "/queue/" + id(1), "cancelled");
+    assertThat(call(0, HttpMethod.GET, "/queue/" + id(9), "").status()).isEqualTo(410);
+    assertThat(call(0, HttpMethod.DELETE, "/queue/" + id(9), "").status()).isEqualTo(410);
+  }
+
+  @Test
+  void requestsThatCannotBeServedGetAnErrorOfTheirOwn() throws Exception {
+    configure(1, 3);
+    assertThat(call(0, HttpMethod.GET, "/elsewhere/", "").status()).isEqualTo(404);
+    assertThat(call(0, HttpMethod.POST, "/queue/short", job(1, true)).status()).isEqualTo(404);
+    assertThat(call(0, HttpMethod.POST, "/queue/" + id(1), "{broken").status()).isEqualTo(400);
+    Reply unsupported =
+        call(
+            0,
+            HttpMethod.POST,
+            "/queue/" + id(1),
+            "{\"specification\":\"x\",\"steps\":[{\"count\":2,\"gang\":true}]}");
+    assertThat(unsupported.status()).isEqualTo(501);
+    assertThat(unsupported.text("detail")).contains("gang");
+    assertThat(startedTasks()).isEmpty();
+  }
+
+  @Test
+  void lostAnswersOfTheStoreAreNoLostJobs() throws Exception {
+    configure(1, 3);
+    run(() -> store.setFault(StoreStandIn.Fault.LOSES_ANSWERS));
+    Reply reply = call(0, HttpMethod.POST, "/queue/" + id(1), job(2, false));
+    run(() -> store.setFault(StoreStandIn.Fault.NONE));
+
+    assertThat(reply.status()).isIn(200, 504);
+    eventually(0, "/queue/" + id(1), "completed");
+    assertThat(startedTasks()).hasSize(2);
+  }
+
+  @Test
+  void newConfigurationIsInForceOnEveryNodeAlsoAfterDroppedHistory() throws Exception {
+    configure(1, 3);
+    run(
+        () -> {
+          store.put(
+              "op",
+              "",
+              "config",
+              PlatformEntries.configuration(2, 3).replace("/queue/", "/renamed/"));
+          store.dropHistory();
+        });
+
+    for (int node = 0; node < 2; node++) {
+      while (call(node, HttpMethod.GET, "/renamed/", "").status() != 200) {
+        pause();
+      }
+      assertThat(call(node, HttpMethod.GET, "/queue/", "").status()).isEqualTo(404);
+    }
+  }
+
+  @Test
+  void stoppingNodeAnswersWhatItHasAndHandsItsShardOver() throws Exception {
+    configure(1, 3);
+    List<Future<Reply>> open = new ArrayList<>();
+    for (int job = 1; job <= 12; job++) {
+      open.add(send(0, HttpMethod.POST, "/queue/" + id(job), job(2, true)));
+    }
+    Future<Void> stopped =
+        Future.future(promise -> run(() -> nodes.getFirst().stop().onComplete(promise)));
+    for (Future<Reply> reply : open) {
+      Reply answered = await(() -> reply);
+      assertThat(answered.text("state")).isEqualTo("completed");
+    }
+    await(() -> stopped);
+
+    assertThat(ready(1)).isTrue();
+    assertThat(call(1, HttpMethod.POST, "/queue/" + id(99), job(1, true)).text("state"))
+        .isEqualTo("completed");
+  }
+
+  private void configure(long version, int attempts) throws Exception {
+    run(() -> store.put("op", "", "config", PlatformEntries.configuration(version, attempts)));
+    for (int node = 0; node < 2; node++) {
+      while (!ready(node) || call(node, HttpMethod.GET, "/queue/", "").status() != 200) {
+        pause();
+      }
+    }
+  }
+
+  private boolean ready(int node) throws Exception {
+    return await(() -> request(readinessPorts.get(node), HttpMethod.GET, "/readiness", "")).status()
+        == 200;
+  }
+
+  private List<String> startedTasks() {
+    return workers.stream()
+        .flatMap(worker -> worker.starts().stream())
+        .map(WorkerStandIn.Start::task)
+        .toList();
+  }
+
+  private void eventually(int node, String path, String state) throws Exception {
+    while (!call(node, HttpMethod.GET, path, "").text("state").equals(state)) {
+      pause();
+    }
+  }
+
+  private Reply call(int node, HttpMethod method, String path, String body) throws Exception {
+    return await(() -> send(node, method, path, body));
+  }
+
+  private Future<Reply> send(int node, HttpMethod method, String path, String body) {
+    return request(clientPorts.get(node), method, path, body);
+  }
+
+  private Future<Reply> request(int port, HttpMethod method, String path, String body) {
+    return client
+        .request(
+            new RequestOptions()
+                .setMethod(method)
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setURI(path)
+                .putHeader("Host", "host.example")
+                .putHeader("Deadline-Milliseconds", "20000"))
+        .compose(request -> request.send(Buffer.buffer(body)))
+        .compose(EntryNodeTest::reply);
+  }
+
+  private static Future<Reply> reply(HttpClientResponse response) {
+    return response.body().map(body -> new Reply(response.statusCode(), body.toString()));
+  }
+
+  private record Reply(int status, String body) {
+    String text(String field) throws IOException {
+      return new ObjectMapper().readTree(body).path(field).asText();
+    }
+  }
+
+  private static String job(int tasks, boolean bestEffort) {
+    return PlatformEntries.job(tasks, 40, bestEffort);
+  }
+
+  private static String id(int number) {
+    return "%016x".formatted(number);
+  }
+
+  private void pause() throws Exception {
+    await(() -> vertx.timer(20, TimeUnit.MILLISECONDS));
+  }
+
+  private void run(Runnable action) {
+    context.runOnContext(ignored -> action.run());
+  }
+
+  private <T> T await(Callable<Future<T>> action) throws Exception {
+    Promise<T> promise = Promise.promise();
+    context.runOnContext(
+        ignored -> {
+          try {
+            action.call().onComplete(promise);
+          } catch (Exception e) {
+            promise.fail(e);
+          }
+        });
+    return promise
+        .future()
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(HANG_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
@@ -0,0 +1,58 @@
+package org.lovagerack.node.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.entry.FleetView;
+import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerId;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** What entry VMs tell each other must arrive as it was said. */
+final class ViewCodecTest {
+
+  @Test
+  void viewSurvivesTheWay() throws Exception {
+    FleetView view =
+        new FleetView(
+            41,
+            List.of(
+                new WorkerEntry(
+                    new WorkerId("w"),
+                    "s",
+                    "10.0.0.1:80",
+                    "a",
+                    true,
+                    new Resources(16_000, 1024, 2),
+                    Set.of("x", "y"),
+                    17)),
+            List.of(new EntryVm(new EntryId(-5), "10.0.0.2:80", "b")));
+
+    assertThat(ViewCodec.decode(ViewCodec.encode(view))).isEqualTo(view);
+  }
+
+  @Test
+  void everyAnswerSurvivesTheWay() throws Exception {
+    List<JobAnswer> answers =
+        List.of(
+            new JobAnswer.Accepted(),
+            new JobAnswer.State(JobState.FAILED),
+            new JobAnswer.Cancelled(),
+            new JobAnswer.Pending(12),
+            new JobAnswer.UnknownJob(),
+            new JobAnswer.Refused(ErrorKind.OVERLOADED, Duration.ofMillis(1500)),
+            new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+
+    for (JobAnswer answer : answers) {
+      assertThat(PeerProtocol.decode(PeerProtocol.encode(answer))).isEqualTo(answer);
+    }
+  }
+}
