Count workers whose entries lapsed when judging whether runs are known

The VM that had led the island took the shard; the entries of its failure domain's workers had lapsed during the cut, so its new tenure saw only other workers, held all runs for known, and placed a repeated job again.

Change: a new owner expects the workers of the last view and of its directory, and holds repeated jobs back while one of them has not reported.

Figures: the test fails without the change (two runs at the same time on a0 and a2).

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/IslandSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/IslandSeat.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobService;
@@ -13,6 +16,7 @@
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerId;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
@@ -55,6 +59,14 @@
     view = newer;
   }
 
+  /** Returns the workers that earlier owners may have used, as far as this VM knows. */
+  Collection<WorkerEntry> knownWorkers() {
+    Map<WorkerId, WorkerEntry> known = new HashMap<>();
+    view.workers().forEach(worker -> known.put(worker.id(), worker));
+    parts.workers().directory().entries().forEach(worker -> known.put(worker.id(), worker));
+    return known.values();
+  }
+
   FleetView view() {
     return view;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -269,7 +269,7 @@
         }
         island.reconnected();
         owned = taken.shard();
-        owned.start(this::dropOwned);
+        owned.start(island.knownWorkers(), this::dropOwned);
         LOG.write(LogEvent.SHARD_TAKEN, "shard", shard, "token", owned.token());
       }
       case ShardLease.HeldByOther other -> {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -1,6 +1,8 @@
 package org.lovagerack.fleet.shard;
 
+import java.util.Collection;
 import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.fleet.worker.WorkerFeed;
 
 /** A shard that this process owns: its log and its tenure. */
@@ -35,12 +37,13 @@
   /**
    * Starts to work for the shard.
    *
+   * @param known workers that an earlier owner may have used, whether or not they are listed now
    * @param onLost told once when another process has taken the shard
    */
-  public void start(Runnable onLost) {
+  public void start(Collection<WorkerEntry> known, Runnable onLost) {
     lost = onLost;
     workers.acquire();
-    tenure.start();
+    tenure.start(known);
   }
 
   /** Returns the fencing token. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -1,6 +1,7 @@
 package org.lovagerack.fleet.shard;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -18,6 +19,7 @@
 import org.lovagerack.fleet.store.RowWrite;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
@@ -105,8 +107,13 @@
     placer.use(links);
   }
 
-  /** Reads what earlier owners have stored, and opens the links to the workers. */
-  void start() {
+  /**
+   * Reads what earlier owners have stored, and opens the links to the workers.
+   *
+   * @param known workers that an earlier owner may have used; empty if none are known
+   */
+  void start(Collection<WorkerEntry> known) {
+    links.expect(known);
     parts
         .timer()
         .after(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -27,6 +27,7 @@
   private final Map<String, WorkerLink> links = new TreeMap<>();
   private final Consumer<WorkerId> directoryListener = this::directoryChanged;
   private final ActiveTasks activeTasks = new ActiveTasks();
+  private List<WorkerEntry> expected = List.of();
   private boolean opened;
 
   /**
@@ -51,11 +52,25 @@
     this.changed = changed;
   }
 
+  /**
+   * Names the workers that an earlier owner may have used. The directory may not list some of them
+   * now, because their entries lapsed while they were cut off from the store.
+   */
+  void expect(Collection<WorkerEntry> known) {
+    expected = List.copyOf(known);
+  }
+
   /** Asks all workers for their first report, and those that come later at once. */
   void open() {
     opened = true;
     directory.addListener(directoryListener);
     directory.entries().forEach(this::add);
+    for (WorkerEntry entry : expected) {
+      if (!links.containsKey(entry.id().value())) {
+        add(entry);
+        links.get(entry.id().value()).unlisted();
+      }
+    }
   }
 
   void close() {
@@ -87,9 +102,11 @@
     return opened && !links.isEmpty() && links.values().stream().allMatch(WorkerLink::joined);
   }
 
-  /** Returns whether the runs on every worker are known. */
+  /** Returns whether the runs on every worker that an earlier owner may have used are known. */
   boolean allCertain() {
-    return allJoined() && links.values().stream().noneMatch(WorkerLink::suspect);
+    return !expected.isEmpty()
+        && allJoined()
+        && links.values().stream().noneMatch(WorkerLink::suspect);
   }
 
   /** Returns the cores of the workers that take tasks of a service, weighted by their speeds. */
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -18,6 +18,7 @@
 import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.FakeWorker;
 import org.lovagerack.fleet.support.OwnedVm;
+import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.foundation.error.ErrorKind;
 
 /** Plays jobs on one owner after another, and checks what callers and workers see. */
@@ -246,7 +247,7 @@
     second.lease().take(Optional.empty(), results::add);
     run(20);
     OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(() -> {});
+    shard.start(second.directory.entries(), () -> {});
     run(60);
     shard.jobs().submit(FakeFleet.job("job-1", 4, 2500, true).asRepeated(), answers::add);
     run(3000);
@@ -268,7 +269,7 @@
     second.lease().take(Optional.of(storedLease()), results::add);
     run(20);
     OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(() -> {});
+    shard.start(second.directory.entries(), () -> {});
     run(590);
     // The stop of the run does not arrive, so the run goes on until its lease is over.
     fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
@@ -283,6 +284,33 @@
     assertThat(fleet.observer.problems()).isEmpty();
   }
 
+  @Test
+  void repeatedJobWaitsForAWorkerWhoseEntryLapsed() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(900)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 2, 900, true));
+    run(50);
+    first.kill(fleet.network);
+    FakeFleet.Vm second = fleet.vm("second");
+    List<WorkerEntry> known = List.copyOf(second.directory.entries());
+    // The worker that runs the job was cut off from the store, as was its owner.
+    second.directory.remove(fleet.workers.getFirst().entry().id());
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    List<ShardLease.Result> results = new ArrayList<>();
+    second.lease().take(Optional.of(storedLease()), results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(known, () -> {});
+    run(60);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 2, 900, true).asRepeated(), answers::add);
+    run(4000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
   @Test
   void repeatedJobWaitsWhileAWorkerMayStillRunIt() {
     fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
@@ -298,7 +326,7 @@
     second.lease().take(Optional.of(storedLease()), results::add);
     run(20);
     OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(() -> {});
+    shard.start(second.directory.entries(), () -> {});
     run(20);
     List<JobAnswer> answers = new ArrayList<>();
     shard.jobs().submit(FakeFleet.job("job-1", 4, 1000, true).asRepeated(), answers::add);
@@ -318,10 +346,11 @@
     fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
     first.kill(fleet.network);
     List<ShardLease.Result> results = new ArrayList<>();
-    fleet.vm("second").lease().take(Optional.of(storedLease()), results::add);
+    FakeFleet.Vm second = fleet.vm("second");
+    second.lease().take(Optional.of(storedLease()), results::add);
     run(20);
     OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(() -> {});
+    shard.start(second.directory.entries(), () -> {});
     run(9000);
     List<JobAnswer> answers = new ArrayList<>();
     shard.jobs().state("job-1", answers::add);
--- a/fleet/src/test/java/org/lovagerack/fleet/support/OwnedVm.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/OwnedVm.java
@@ -20,6 +20,7 @@
 
   void start() {
     shard.start(
+        vm.directory.entries(),
         () -> {
           lost = true;
           shard.close();
