Spread jobs and workers over as many shards as the fleet needs

Cause: one owner orders 32 workers with a seventh of a core at most; the grown deployments have 246 workers and VMs from 0.27 to 1.5 cores.

Change: the first VM decides the number of shards from the number of workers (40 a shard), and stores it; jobs and workers are spread by a hash. Strong VMs with few shards take a shard first.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/IslandSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/IslandSeat.java
@@ -179,7 +179,10 @@
 
   private List<WorkerEntry> workers() {
     return view.workers().stream()
-        .filter(worker -> worker.failureDomain().equals(self.failureDomain()))
+        .filter(
+            worker ->
+                worker.failureDomain().equals(self.failureDomain())
+                    && parts.mayUse().test(worker.id()))
         .toList();
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -13,6 +13,7 @@
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.shard.OwnedShardFactory;
 import org.lovagerack.fleet.shard.ShardLease;
+import org.lovagerack.fleet.shard.ShardMap;
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.StoredRow;
@@ -29,17 +30,36 @@
   /** Longest wait of one call that follows the owners; bounds how long a silent one is trusted. */
   private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
 
+  /** An owner of a shard of 40 workers uses about a seventh of a core, and more in a burst. */
+  private static final double STRONG_CORES = 0.6;
+
+  /** About a takeover's length: a weak VM waits until the strong ones have had their try. */
+  private static final Duration LONGEST_RELUCTANCE = Duration.ofMillis(300);
+
+  private static final Duration RELUCTANCE_PER_SHARD = Duration.ofMillis(150);
+
   private final TimerService timer;
+  private final RandomGenerator random;
+  private final PeerCalls peers;
   private final OwnedShardFactory parts;
-  private final List<ShardSeat> seats;
+  private final EntryVm self;
+  private final double cores;
+  private final ShardLayout layout;
   private final StoredJobs storedJobs;
-  private final TableFollower owners;
+
+  /** Set once the number of shards is known; until then there are no seats. */
+  private ShardMap map;
+
+  private List<ShardSeat> seats = List.of();
+  private boolean retired;
 
   /**
    * Creates a router that does nothing until {@link #start}.
    *
+   * @param parts what the owner of a shard needs; its workers are those of all shards
    * @param self this VM
-   * @param shards number of shards, the same on every VM
+   * @param cores processor of this VM, cores
+   * @param workersPerShard workers that one owner is to order
    */
   public JobRouter(
       TimerService timer,
@@ -47,32 +67,47 @@
       PeerCalls peers,
       OwnedShardFactory parts,
       EntryVm self,
-      int shards) {
+      double cores,
+      int workersPerShard) {
     this.timer = timer;
+    this.random = random;
+    this.peers = peers;
     this.parts = parts;
-    this.seats =
-        IntStream.range(0, shards)
-            .mapToObj(shard -> seat(timer, random, peers, parts, self, shard))
-            .toList();
+    this.self = self;
+    this.cores = cores;
+    this.layout = new ShardLayout(timer, parts.store(), parts.workers(), workersPerShard);
     this.storedJobs = new StoredJobs(parts.store());
-    this.owners =
-        new TableFollower(
+  }
+
+  /** Finds the shards, follows their owners, and takes shards that have none. */
+  public void start() {
+    layout.resolve(
+        shards -> {
+          if (!retired) {
+            begin(new ShardMap(shards));
+          }
+        });
+  }
+
+  private void begin(ShardMap shardMap) {
+    map = shardMap;
+    seats =
+        IntStream.range(0, map.shards())
+            .mapToObj(shard -> newSeat(parts.forShard(map, shard), shard))
+            .toList();
+    new TableFollower(
             timer,
             parts.store(),
             ShardRows.OWNER_TABLE,
-            ShardRows.partitions(shards),
+            ShardRows.partitions(map.shards()),
             FOLLOW_WAIT,
             Duration.ZERO,
-            new OwnerListener());
+            new OwnerListener())
+        .start();
+    seats.forEach(ShardSeat::start);
   }
 
-  private static ShardSeat seat(
-      TimerService timer,
-      RandomGenerator random,
-      PeerCalls peers,
-      OwnedShardFactory parts,
-      EntryVm self,
-      int shard) {
+  private ShardSeat newSeat(OwnedShardFactory shardParts, int shard) {
     ShardRows rows = ShardRows.of(shard);
     ShardLease lease =
         new ShardLease(
@@ -82,9 +117,25 @@
             rows,
             self.address(),
             self.id().incarnation(),
-            parts);
+            shardParts);
     return new ShardSeat(
-        timer, random, peers, lease, new IslandSeat(timer, peers, parts, rows, self), shard);
+        timer,
+        random,
+        peers,
+        lease,
+        new IslandSeat(timer, peers, shardParts, rows, self),
+        this::reluctance,
+        shard);
+  }
+
+  /**
+   * Returns how long this VM waits before it takes a shard, so that strong VMs with few shards come
+   * first.
+   */
+  private Duration reluctance() {
+    double weakness = Math.max(0, STRONG_CORES - cores) / STRONG_CORES;
+    return Duration.ofNanos((long) (weakness * LONGEST_RELUCTANCE.toNanos()))
+        .plus(RELUCTANCE_PER_SHARD.multipliedBy(ownedShards()));
   }
 
   /** Returns what this process knows of the fleet. */
@@ -100,14 +151,13 @@
     return parts.workers().directory().version() + parts.contacts().version();
   }
 
-  /** Starts to follow the owners, and to take shards that have none. */
-  public void start() {
-    owners.start();
-    seats.forEach(ShardSeat::start);
-  }
-
   /** Gives all shards up. */
   public void retire(Runnable callback) {
+    retired = true;
+    if (seats.isEmpty()) {
+      callback.run();
+      return;
+    }
     int[] left = {seats.size()};
     for (ShardSeat seat : seats) {
       seat.retire(
@@ -122,7 +172,7 @@
 
   /** Returns whether every shard has an owner that calls can be passed to. */
   public boolean ready() {
-    return seats.stream().allMatch(ShardSeat::reachable);
+    return !seats.isEmpty() && seats.stream().allMatch(ShardSeat::reachable);
   }
 
   /** Returns the number of shards that this process owns. */
@@ -132,7 +182,7 @@
 
   /** Returns the service of a job's shard if this process serves it. */
   public Optional<JobService> ownJobs(String jobId) {
-    return seat(jobId).ownJobs();
+    return seats.isEmpty() ? Optional.empty() : seat(jobId).ownJobs();
   }
 
   /** Returns the services of the shards that this process serves. */
@@ -142,16 +192,26 @@
 
   @Override
   public void submit(Submission submission, Consumer<JobAnswer> callback) {
+    if (seats.isEmpty()) {
+      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      return;
+    }
     new SubmissionRelay(timer, seat(submission.jobId()), submission, callback).start();
   }
 
   @Override
   public void abandon(Submission submission) {
-    seat(submission.jobId()).jobs().ifPresent(jobs -> jobs.abandon(submission));
+    if (!seats.isEmpty()) {
+      seat(submission.jobId()).jobs().ifPresent(jobs -> jobs.abandon(submission));
+    }
   }
 
   @Override
   public void state(String jobId, Consumer<JobAnswer> callback) {
+    if (seats.isEmpty()) {
+      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      return;
+    }
     pass(
         jobId,
         (jobs, answer) -> jobs.state(jobId, answer),
@@ -173,6 +233,10 @@
 
   @Override
   public void pending(String queueName, Consumer<JobAnswer> callback) {
+    if (seats.isEmpty()) {
+      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      return;
+    }
     PendingSum sum = new PendingSum(seats.size(), callback);
     for (ShardSeat seat : seats) {
       Optional<JobService> jobs = seat.jobs();
@@ -188,6 +252,10 @@
       String jobId,
       BiConsumer<JobService, Consumer<JobAnswer>> call,
       Consumer<JobAnswer> callback) {
+    if (seats.isEmpty()) {
+      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      return;
+    }
     ShardSeat seat = seat(jobId);
     Optional<JobService> jobs = seat.jobs();
     if (jobs.isEmpty()) {
@@ -209,7 +277,7 @@
   }
 
   private int shard(String jobId) {
-    return Math.floorMod(jobId.hashCode(), seats.size());
+    return map.ofJob(jobId);
   }
 
   private final class OwnerListener implements TableFollower.Listener {
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardLayout.java
@@ -0,0 +1,154 @@
+package org.lovagerack.fleet.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import org.lovagerack.fleet.store.CommitOutcome;
+import org.lovagerack.fleet.store.ReadOutcome;
+import org.lovagerack.fleet.store.RowCondition;
+import org.lovagerack.fleet.store.RowKey;
+import org.lovagerack.fleet.store.RowStore;
+import org.lovagerack.fleet.store.RowTransaction;
+import org.lovagerack.fleet.store.RowWrite;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.worker.WorkerFeed;
+import org.lovagerack.foundation.data.Bytes;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+import org.lovagerack.foundation.timer.TimerService;
+
+/**
+ * The number of shards, which the first entry VM of a fleet decides from the number of workers and
+ * stores. It does not change afterwards, because stored jobs are found by it.
+ */
+final class ShardLayout {
+
+  private static final RowKey ROW = new RowKey("lovagerack-layout", "", "shards");
+
+  /**
+   * Workers register one after the other; with no newcomer for this long they count as complete.
+   */
+  private static final Duration SETTLED = Duration.ofSeconds(2);
+
+  private static final Duration PERIOD = Duration.ofMillis(200);
+  private static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final int MOST_SHARDS = 4096;
+
+  private static final EventLog LOG = new EventLog(ShardLayout.class);
+
+  private final TimerService timer;
+  private final RowStore store;
+  private final WorkerFeed workers;
+  private final int workersPerShard;
+  private int lastCount;
+  private long lastChangeNanos;
+
+  /**
+   * Creates a layout that is not known yet.
+   *
+   * @param workersPerShard number of workers that one owner is to order
+   */
+  ShardLayout(TimerService timer, RowStore store, WorkerFeed workers, int workersPerShard) {
+    this.timer = timer;
+    this.store = store;
+    this.workers = workers;
+    this.workersPerShard = workersPerShard;
+  }
+
+  /** Finds or decides the number of shards; tries until it succeeds. */
+  void resolve(IntConsumer callback) {
+    read(
+        stored -> {
+          if (stored.isPresent()) {
+            callback.accept(stored.get());
+          } else {
+            workers.acquire();
+            lastChangeNanos = timer.nanoTime();
+            waitForWorkers(
+                shards -> {
+                  workers.release();
+                  callback.accept(shards);
+                });
+          }
+        });
+  }
+
+  private void read(Consumer<Optional<Integer>> callback) {
+    store.read(
+        ROW.table(),
+        ROW.partition(),
+        ROW.key(),
+        1,
+        TIMEOUT,
+        outcome -> {
+          if (outcome instanceof ReadOutcome.Rows page) {
+            callback.accept(
+                page.rows().stream()
+                    .filter(row -> row.key().equals(ROW))
+                    .findFirst()
+                    .flatMap(ShardLayout::decode));
+          } else {
+            LOG.write(LogEvent.PLATFORM_UNAVAILABLE, "row", ROW, "outcome", outcome);
+            timer.after(PERIOD, () -> read(callback));
+          }
+        });
+  }
+
+  private static Optional<Integer> decode(StoredRow row) {
+    try {
+      int shards = Integer.parseInt(row.value().toText());
+      if (shards >= 1 && shards <= MOST_SHARDS) {
+        return Optional.of(shards);
+      }
+      throw new NumberFormatException("out of range: " + shards);
+    } catch (NumberFormatException e) {
+      LOG.write(LogEvent.ROW_UNREADABLE, e, "row", ROW);
+      return Optional.empty();
+    }
+  }
+
+  private void waitForWorkers(IntConsumer callback) {
+    int count = workers.directory().entries().size();
+    if (count != lastCount) {
+      lastCount = count;
+      lastChangeNanos = timer.nanoTime();
+    }
+    boolean settled = timer.nanoTime() - lastChangeNanos >= SETTLED.toNanos();
+    if (count > 0 && settled) {
+      write(Math.clamp(Math.round((float) count / workersPerShard), 1, MOST_SHARDS), callback);
+    } else {
+      timer.after(
+          PERIOD,
+          () ->
+              read(
+                  stored ->
+                      stored.ifPresentOrElse(callback::accept, () -> waitForWorkers(callback))));
+    }
+  }
+
+  private void write(int shards, IntConsumer callback) {
+    store.commit(
+        new RowTransaction(
+            List.of(new RowCondition(ROW, RowCondition.ABSENT)),
+            List.of(new RowWrite(ROW, Bytes.ofText(Integer.toString(shards)))),
+            List.of()),
+        TIMEOUT,
+        outcome -> {
+          if (outcome instanceof CommitOutcome.Committed) {
+            LOG.write(LogEvent.SHARDS_DECIDED, "shards", shards, "workers", lastCount);
+            callback.accept(shards);
+          } else {
+            // Another VM may have decided, or this attempt may still be applied.
+            timer.after(
+                PERIOD,
+                () ->
+                    read(
+                        stored ->
+                            stored.ifPresentOrElse(
+                                callback::accept, () -> write(shards, callback))));
+          }
+        });
+  }
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
@@ -43,6 +44,7 @@
   private final PeerCalls peers;
   private final ShardLease lease;
   private final IslandSeat island;
+  private final Supplier<Duration> reluctance;
   private final int shard;
   private final Set<SubmissionRelay> relays = new LinkedHashSet<>();
   private LeaseRecord owner;
@@ -59,12 +61,14 @@
       PeerCalls peers,
       ShardLease lease,
       IslandSeat island,
+      Supplier<Duration> reluctance,
       int shard) {
     this.timer = timer;
     this.random = random;
     this.peers = peers;
     this.lease = lease;
     this.island = island;
+    this.reluctance = reluctance;
     this.shard = shard;
   }
 
@@ -238,7 +242,16 @@
       return;
     }
     taking = true;
-    lease.takeIfUnrenewed(this::takeEnded);
+    LeaseRecord silent = owner;
+    timer.after(
+        reluctance.get(),
+        () -> {
+          if (retired || owned != null || !silent.equals(owner)) {
+            taking = false;
+          } else {
+            lease.takeIfUnrenewed(this::takeEnded);
+          }
+        });
   }
 
   private void take() {
@@ -247,7 +260,7 @@
     }
     taking = true;
     Optional<LeaseRecord> believed = Optional.ofNullable(owner);
-    Duration jitter = Duration.ofNanos(random.nextLong(LONGEST_JITTER.toNanos()));
+    Duration jitter = reluctance.get().plusNanos(random.nextLong(LONGEST_JITTER.toNanos()));
     timer.after(
         jitter,
         () -> {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
@@ -1,10 +1,12 @@
 package org.lovagerack.fleet.shard;
 
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.lovagerack.fleet.configuration.ConfigurationHolder;
 import org.lovagerack.fleet.store.RowStore;
 import org.lovagerack.fleet.worker.WorkerCalls;
 import org.lovagerack.fleet.worker.WorkerFeed;
+import org.lovagerack.fleet.worker.WorkerId;
 import org.lovagerack.foundation.timer.TimerService;
 
 /**
@@ -16,6 +18,7 @@
  * @param store the store
  * @param calls orders to workers
  * @param workers workers that the platform lists
+ * @param mayUse workers of the shard
  * @param contacts entry VMs in contact
  * @param configuration configuration in force
  * @param bounds bounds that the platform sets
@@ -28,11 +31,28 @@
     RowStore store,
     WorkerCalls calls,
     WorkerFeed workers,
+    Predicate<WorkerId> mayUse,
     EntryContacts contacts,
     ConfigurationHolder configuration,
     FleetBounds bounds,
     TenureCounters counters) {
 
+  /** Returns the same parts with the workers of one shard. */
+  public OwnedShardFactory forShard(ShardMap map, int shard) {
+    return new OwnedShardFactory(
+        timer,
+        wallMillis,
+        clock,
+        store,
+        calls,
+        workers,
+        worker -> map.ofWorker(worker) == shard,
+        contacts,
+        configuration,
+        bounds,
+        counters);
+  }
+
   OwnedShard create(
       ShardRows rows, LeaseRecord lease, long leaseVersion, LeaseClock.Moment takenAt) {
     return new OwnedShard(this, rows, lease, leaseVersion, takenAt);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -100,6 +100,7 @@
             parts.timer(),
             parts.calls(),
             directory,
+            parts.mayUse(),
             parts.bounds(),
             log::token,
             runs,
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.lovagerack.fleet.job.TaskId;
 import org.lovagerack.fleet.worker.WorkerCalls;
 import org.lovagerack.fleet.worker.WorkerDirectory;
@@ -20,6 +21,7 @@
   private final TimerService timer;
   private final WorkerCalls calls;
   private final WorkerDirectory directory;
+  private final Predicate<WorkerId> mayUse;
   private final FleetBounds bounds;
   private final LongSupplier token;
   private final WorkerLink.Listener listener;
@@ -33,12 +35,14 @@
   /**
    * Creates the links of a tenure; nothing is sent before {@link #open}.
    *
+   * @param mayUse workers of the shard
    * @param changed told after each change of the directory
    */
   WorkerLinks(
       TimerService timer,
       WorkerCalls calls,
       WorkerDirectory directory,
+      Predicate<WorkerId> mayUse,
       FleetBounds bounds,
       LongSupplier token,
       WorkerLink.Listener listener,
@@ -46,6 +50,7 @@
     this.timer = timer;
     this.calls = calls;
     this.directory = directory;
+    this.mayUse = mayUse;
     this.bounds = bounds;
     this.token = token;
     this.listener = listener;
@@ -66,7 +71,7 @@
     directory.addListener(directoryListener);
     directory.entries().forEach(this::add);
     for (WorkerEntry entry : expected) {
-      if (!links.containsKey(entry.id().value())) {
+      if (mayUse.test(entry.id()) && !links.containsKey(entry.id().value())) {
         add(entry);
         links.get(entry.id().value()).unlisted();
       }
@@ -121,6 +126,9 @@
   }
 
   private void directoryChanged(WorkerId id) {
+    if (!mayUse.test(id)) {
+      return;
+    }
     Optional<WorkerEntry> entry = directory.find(id);
     WorkerLink link = links.get(id.value());
     if (entry.isPresent() && link == null) {
@@ -134,7 +142,7 @@
   }
 
   private void add(WorkerEntry entry) {
-    if (!links.containsKey(entry.id().value())) {
+    if (mayUse.test(entry.id()) && !links.containsKey(entry.id().value())) {
       WorkerLink link = new WorkerLink(timer, calls, bounds, token, entry, activeTasks, listener);
       links.put(entry.id().value(), link);
       link.open();
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -44,6 +44,7 @@
           vm.lease(),
           new IslandSeat(
               fleet.timer, peers, vm.parts, ShardRows.of(0), new EntryVm(vm.id, "entry", "a")),
+          () -> Duration.ZERO,
           0);
   private final List<JobAnswer> answers = new ArrayList<>();
 
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
@@ -117,6 +117,7 @@
               storeConnection,
               network.callsOf(name),
               new WorkerFeed(directory, idle),
+              worker -> true,
               contacts,
               configuration,
               new FleetBounds(
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -64,6 +64,7 @@
   TOKEN_RAISED(5110, Severity.INFO, "fencing token raised above that of an island"),
   ISLAND_STARTED(5111, Severity.WARN, "failure domain serves its part of a shard by itself"),
   ISLAND_ENDED(5112, Severity.INFO, "failure domain is back in contact with the owner"),
+  SHARDS_DECIDED(5113, Severity.INFO, "number of shards decided"),
   PLATFORM_UNAVAILABLE(6001, Severity.WARN, "platform call failed"),
   PLATFORM_RECOVERED(6002, Severity.INFO, "platform answers again"),
   ROW_UNREADABLE(6003, Severity.WARN, "stored row cannot be read"),
--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -119,6 +119,7 @@
             store,
             new WorkerClient(new HttpCaller(vertx, WORKER_CONNECTIONS)),
             workers,
+            worker -> true,
             contacts,
             configuration,
             new FleetBounds(
@@ -126,7 +127,9 @@
             metrics);
     EntryVm vm = new EntryVm(self, settings.peerAddress(), settings.failureDomain());
     PeerClient peerCalls = new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS), vm);
-    router = new JobRouter(timer, random, peerCalls, factory, vm, settings.shards());
+    router =
+        new JobRouter(
+            timer, random, peerCalls, factory, vm, settings.cores(), settings.workersPerShard());
     clients = new ClientInterface(timer, configuration, router, self);
     peers = new PeerServer(router, contacts, incarnation);
   }
--- a/node/src/main/java/org/lovagerack/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettings.java
@@ -12,7 +12,9 @@
  * @param peerAddress IP number and port for other entry VMs
  * @param metricsAddress IP number and port for metrics
  * @param storeAddress IP number and port of the platform's store
- * @param shards number of shards that the jobs are spread over, the same on every VM
+ * @param processorShare share of each core that the VM has
+ * @param processorCores number of its cores
+ * @param workersPerShard workers that one owner is to order; decides the number of shards once
  * @param longestWorkerLease longest lease that a worker grants
  * @param cancelWithin time within which the tasks of a cancelled job must be gone
  * @param statusRetention time for which the state of an ended job is kept
@@ -26,8 +28,16 @@
     String peerAddress,
     String metricsAddress,
     String storeAddress,
-    int shards,
+    double processorShare,
+    double processorCores,
+    int workersPerShard,
     Duration longestWorkerLease,
     Duration cancelWithin,
     Duration statusRetention,
-    Duration stopWithin) {}
+    Duration stopWithin) {
+
+  /** Returns the processor of the VM in whole cores. */
+  public double cores() {
+    return processorShare * processorCores;
+  }
+}
--- a/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
@@ -19,7 +19,8 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final long MAX_MILLIS = 86_400_000;
-  private static final int MAX_SHARDS = 4096;
+  private static final int MAX_WORKERS = 100_000;
+  private static final double MAX_CORES = 1024;
   private static final int MAX_PORT = 65_535;
 
   /**
@@ -48,7 +49,9 @@
             reader.address("peerAddress"),
             reader.address("metricsAddress"),
             reader.address("storeAddress"),
-            (int) reader.number("shards", 1, MAX_SHARDS),
+            reader.fraction("processorShare", 1),
+            reader.fraction("processorCores", MAX_CORES),
+            (int) reader.number("workersPerShard", 1, MAX_WORKERS),
             reader.millis("longestWorkerLeaseMillis"),
             reader.millis("cancelWithinMillis"),
             reader.millis("statusRetentionMillis"),
@@ -100,6 +103,16 @@
       return value.asLong();
     }
 
+    double fraction(String field, double largest) {
+      unread.remove(field);
+      JsonNode value = root.path(field);
+      if (!value.isNumber() || value.asDouble() <= 0 || value.asDouble() > largest) {
+        problems.add(field + " is not a number above 0 and up to " + largest + ": " + value);
+        return largest;
+      }
+      return value.asDouble();
+    }
+
     Duration millis(String field) {
       return Duration.ofMillis(number(field, 1, MAX_MILLIS));
     }
