Wait longer for a slow store when a shard changes its owner

While the store took half a second for a transaction, VMs waited 400 ms when they took a shard that a stopping owner had given up; four attempts failed or were applied unseen. Refusals that an entry VM decided without an owner were not logged.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -8,6 +8,8 @@
 import org.lovagerack.fleet.job.Objective;
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
 
 /**
@@ -31,6 +33,8 @@
   /** Takeovers last about this long. */
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+  private static final EventLog LOG = new EventLog(SubmissionRelay.class);
+
   private final TimerService timer;
   private final ShardSeat seat;
   private final Consumer<JobAnswer> callback;
@@ -111,10 +115,31 @@
     }
   }
 
+  /** Returns whether a refusal was decided by this VM; the owner writes its own. */
+  private static boolean refusedHere(ErrorKind kind) {
+    return kind == ErrorKind.NOT_READY || kind == ErrorKind.OWNER_UNREACHABLE;
+  }
+
   /** An owner that refuses a job does not know whether an earlier one has started it. */
   private void finish(JobAnswer answer) {
     finished = true;
     seat.removeRelay(this);
+    if (answer instanceof JobAnswer.Refused refused && refusedHere(refused.kind())) {
+      LOG.write(
+          LogEvent.JOB_REFUSED,
+          "job",
+          submission.jobId(),
+          "queue",
+          submission.queue().name(),
+          "kind",
+          refused.kind(),
+          "reason",
+          "no owner took the job",
+          "after",
+          Duration.ofNanos(timer.nanoTime() - startedNanos),
+          "attempts",
+          attempt + 1);
+    }
     callback.accept(
         submission.repeated() && answer instanceof JobAnswer.Refused
             ? new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -50,7 +50,11 @@
    */
   public record Undecided(String reason) implements Result {}
 
-  private static final Duration TIMEOUT = Duration.ofMillis(400);
+  /** Many times a healthy answer; short, because a VM that is cut off waits for it. */
+  private static final Duration FIRST_TIMEOUT = Duration.ofMillis(400);
+
+  /** Longer than a slow store takes for a transaction, about half a second. */
+  private static final Duration LONGEST_TIMEOUT = Duration.ofMillis(2400);
 
   /** Slack for the time between the owner's clock reading and the store's transaction. */
   private static final Duration MARGIN = Duration.ofMillis(100);
@@ -64,6 +68,7 @@
   private final String ownAddress;
   private final long ownIncarnation;
   private final OwnedShardFactory factory;
+  private Duration timeout = FIRST_TIMEOUT;
 
   /**
    * Creates the lease of a shard.
@@ -144,12 +149,13 @@
         rows.partition(),
         rows.lease().key(),
         1,
-        TIMEOUT,
+        timeout,
         outcome -> {
           if (outcome instanceof ReadOutcome.Rows page) {
             next.accept(
                 page.rows().stream().filter(row -> row.key().equals(rows.lease())).findFirst());
           } else {
+            lengthenTimeout();
             callback.accept(new StoreUnreachable("the lease cannot be read: " + outcome));
           }
         });
@@ -175,21 +181,31 @@
                 new RowWrite(rows.lease(), taken.encode()),
                 new RowWrite(rows.owner(), taken.encode())),
             List.of()),
-        TIMEOUT,
+        timeout,
         outcome -> {
           switch (outcome) {
-            case CommitOutcome.Committed committed ->
-                callback.accept(
-                    new Taken(factory.create(rows, taken, committed.version(), sentAt)));
+            case CommitOutcome.Committed committed -> {
+              timeout = FIRST_TIMEOUT;
+              callback.accept(new Taken(factory.create(rows, taken, committed.version(), sentAt)));
+            }
             case CommitOutcome.Conflict conflict -> callback.accept(conflict(conflict));
             case CommitOutcome.NotApplied failure ->
                 callback.accept(new Undecided(failure.reason()));
             // A later attempt takes the shard from this process itself, under a higher token.
-            case CommitOutcome.Unknown failure -> callback.accept(new Undecided(failure.reason()));
+            case CommitOutcome.Unknown failure -> {
+              lengthenTimeout();
+              callback.accept(new Undecided(failure.reason()));
+            }
           }
         });
   }
 
+  /** A store that is slow answers the next attempt in time. */
+  private void lengthenTimeout() {
+    Duration longer = timeout.multipliedBy(2);
+    timeout = longer.compareTo(LONGEST_TIMEOUT) < 0 ? longer : LONGEST_TIMEOUT;
+  }
+
   private Result conflict(CommitOutcome.Conflict conflict) {
     for (StoredRow row : conflict.rows()) {
       if (row.key().equals(rows.lease())) {
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeStore.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeStore.java
@@ -34,7 +34,7 @@
     DONE_LATE
   }
 
-  public static final Duration LATENCY = Duration.ofMillis(4);
+  private static final Duration LATENCY = Duration.ofMillis(4);
   private static final Duration LATENESS = Duration.ofSeconds(2);
 
   private static final Comparator<RowKey> ORDER =
@@ -45,6 +45,7 @@
   private final TimerService timer;
   private final TreeMap<RowKey, StoredRow> rows = new TreeMap<>(ORDER);
   private final List<StoredRow> history = new ArrayList<>();
+  private Duration latency = LATENCY;
   private long version;
   private long forgottenBefore;
 
@@ -52,6 +53,11 @@
     this.timer = timer;
   }
 
+  /** Makes the store answer more slowly or faster. */
+  public void setLatency(Duration newLatency) {
+    latency = newLatency;
+  }
+
   /** Returns a connection to the store with faults of its own. */
   public Connection connect() {
     return new Connection();
@@ -126,14 +132,15 @@
     public void commit(
         RowTransaction transaction, Duration timeout, Consumer<CommitOutcome> callback) {
       commits++;
-      switch (fault) {
-        case NONE -> timer.after(LATENCY, () -> callback.accept(perform(transaction)));
+      boolean tooSlow = latency.compareTo(timeout) > 0;
+      switch (tooSlow && fault == Fault.NONE ? Fault.ANSWER_LOST : fault) {
+        case NONE -> timer.after(latency, () -> callback.accept(perform(transaction)));
         case REFUSED ->
-            timer.after(LATENCY, () -> callback.accept(new CommitOutcome.NotApplied("status 503")));
+            timer.after(latency, () -> callback.accept(new CommitOutcome.NotApplied("status 503")));
         case SILENT ->
             timer.after(timeout, () -> callback.accept(new CommitOutcome.Unknown("silent")));
         case ANSWER_LOST -> {
-          timer.after(LATENCY, () -> perform(transaction));
+          timer.after(latency, () -> perform(transaction));
           timer.after(timeout, () -> callback.accept(new CommitOutcome.Unknown("lost")));
         }
         case DONE_LATE -> {
@@ -155,7 +162,7 @@
         return;
       }
       timer.after(
-          LATENCY,
+          latency,
           () -> {
             List<StoredRow> found =
                 rows.values().stream()
@@ -192,9 +199,10 @@
     }
 
     private boolean failed(Duration timeout, Consumer<ReadOutcome> callback) {
-      if (fault == Fault.REFUSED || fault == Fault.SILENT) {
+      boolean tooSlow = latency.compareTo(timeout) > 0;
+      if (fault == Fault.REFUSED || fault == Fault.SILENT || tooSlow) {
         timer.after(
-            fault == Fault.REFUSED ? LATENCY : timeout,
+            fault == Fault.REFUSED ? latency : timeout,
             () -> callback.accept(new ReadOutcome.Unavailable("fault " + fault)));
         return true;
       }
