--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -242,12 +243,8 @@
     first.shard().release(() -> {});
     run(20);
     first.shard().close();
-    List<ShardLease.Result> results = new ArrayList<>();
     FakeFleet.Vm second = fleet.vm("second");
-    second.lease().take(Optional.empty(), results::add);
-    run(20);
-    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(second.directory.entries(), () -> {});
+    OwnedShard shard = takeAtOnce(second, Optional.empty(), second.directory.entries());
     run(60);
     shard.jobs().submit(FakeFleet.job("job-1", 4, 2500, true).asRepeated(), answers::add);
     run(3000);
@@ -264,12 +261,8 @@
     first.submit(FakeFleet.job("job-1", 2, 1000, true));
     run(50);
     first.kill(fleet.network);
-    List<ShardLease.Result> results = new ArrayList<>();
     FakeFleet.Vm second = fleet.vm("second");
-    second.lease().take(Optional.of(storedLease()), results::add);
-    run(20);
-    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(second.directory.entries(), () -> {});
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
     run(590);
     // The stop of the run does not arrive, so the run goes on until its lease is over.
     fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
@@ -297,11 +290,7 @@
     // The worker that runs the job was cut off from the store, as was its owner.
     second.directory.remove(fleet.workers.getFirst().entry().id());
     fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
-    List<ShardLease.Result> results = new ArrayList<>();
-    second.lease().take(Optional.of(storedLease()), results::add);
-    run(20);
-    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(known, () -> {});
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), known);
     run(60);
     List<JobAnswer> answers = new ArrayList<>();
     shard.jobs().submit(FakeFleet.job("job-1", 2, 900, true).asRepeated(), answers::add);
@@ -321,12 +310,8 @@
     // The second owner cannot reach a worker that goes on running under the first one's lease.
     fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
     first.kill(fleet.network);
-    List<ShardLease.Result> results = new ArrayList<>();
     FakeFleet.Vm second = fleet.vm("second");
-    second.lease().take(Optional.of(storedLease()), results::add);
-    run(20);
-    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(second.directory.entries(), () -> {});
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
     run(20);
     List<JobAnswer> answers = new ArrayList<>();
     shard.jobs().submit(FakeFleet.job("job-1", 4, 1000, true).asRepeated(), answers::add);
@@ -345,12 +330,8 @@
     run(50);
     fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
     first.kill(fleet.network);
-    List<ShardLease.Result> results = new ArrayList<>();
     FakeFleet.Vm second = fleet.vm("second");
-    second.lease().take(Optional.of(storedLease()), results::add);
-    run(20);
-    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
-    shard.start(second.directory.entries(), () -> {});
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
     run(9000);
     List<JobAnswer> answers = new ArrayList<>();
     shard.jobs().state("job-1", answers::add);
@@ -359,6 +340,17 @@
     assertThat(fleet.observer.problems()).isEmpty();
   }
 
+  /** Takes the shard without waiting for a lease to expire, as from a process that is gone. */
+  private OwnedShard takeAtOnce(
+      FakeFleet.Vm vm, Optional<LeaseRecord> believed, Collection<WorkerEntry> known) {
+    List<ShardLease.Result> results = new ArrayList<>();
+    vm.lease().take(believed, results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(known, () -> {});
+    return shard;
+  }
+
   private LeaseRecord storedLease() {
     try {
       return LeaseRecord.decode(fleet.store.rows().get(ShardRows.of(0).lease()).value());
--- a/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
+++ b/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
@@ -46,6 +46,7 @@
   private final List<EntryNode> nodes = new ArrayList<>();
   private final List<Integer> clientPorts = new ArrayList<>();
   private final List<Integer> readinessPorts = new ArrayList<>();
+  private final List<Integer> metricsPorts = new ArrayList<>();
 
   @BeforeEach
   void start() throws Exception {
@@ -66,6 +67,7 @@
   private void startNode(String name, int storePort) throws Exception {
     int clientPort = freePort();
     int readinessPort = freePort();
+    int metricsPort = freePort();
     NodeSettings settings =
         new NodeSettings(
             name,
@@ -73,7 +75,7 @@
             "127.0.0.1:" + clientPort,
             "127.0.0.1:" + readinessPort,
             "127.0.0.1:" + freePort(),
-            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + metricsPort,
             "127.0.0.1:" + storePort,
             1,
             1,
@@ -96,6 +98,7 @@
         });
     clientPorts.add(clientPort);
     readinessPorts.add(readinessPort);
+    metricsPorts.add(metricsPort);
   }
 
   @AfterEach
@@ -225,6 +228,22 @@
         .isEqualTo("completed");
   }
 
+  @Test
+  void ownerCountsItsJobsOnTheMetricsAddress() throws Exception {
+    configure(1, 3);
+    call(0, HttpMethod.POST, "/queue/" + id(1), job(2, true));
+    StringBuilder text = new StringBuilder();
+    for (int port : metricsPorts) {
+      text.append(await(() -> request(port, HttpMethod.GET, "/metrics", "")).body());
+    }
+
+    assertThat(text)
+        .contains("jobs_accepted 1")
+        .contains("tasks_started 2")
+        .contains("jobs_ended{state=\"completed\"} 1")
+        .contains("job_response_time_millis{quantile=\"0.99\"}");
+  }
+
   private void configure(long version, int attempts) throws Exception {
     run(() -> store.put("op", "", "config", PlatformEntries.configuration(version, attempts)));
     for (int node = 0; node < 2; node++) {
