Do not extend runs whose job is unknown, nor start for an entry VM not heard from lately

Change: no extension of, and no start beside, a run whose job is not known; they are stopped after 300 ms. A best-effort task starts only for an entry VM heard from in the last 600 ms. An entry VM abandons a job at the old owner when it submits it to the next.

Figures: three tests that fail without the changes.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -41,6 +41,7 @@
   private final long startedNanos;
   private final Duration objective;
   private Submission submission;
+  private Optional<JobService> lastOwner = Optional.empty();
   private int attempt;
   private boolean finished;
 
@@ -63,6 +64,9 @@
   /** The owner that the last attempt went to does not serve the shard any more. */
   void ownerReplaced() {
     if (!finished) {
+      // The job must not go on there as well; an owner that hears nothing ends it by itself.
+      lastOwner.ifPresent(owner -> owner.abandon(submission));
+      lastOwner = Optional.empty();
       submission = submission.asRepeated();
       attempt++;
       tryAgain(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
@@ -78,6 +82,7 @@
       tryAgain(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
       return;
     }
+    lastOwner = owner;
     int sentAs = attempt;
     owner.get().submit(submission, answer -> receive(sentAs, answer));
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
@@ -20,6 +20,9 @@
    */
   static final Duration SILENCE = Duration.ofMillis(900);
 
+  /** Two periods of the probes that entry VMs send, well under the lease of a worker. */
+  private static final Duration LATELY = Duration.ofMillis(600);
+
   private final LeaseClock clock;
   private final EntryId self;
   private final Map<EntryId, Contact> contacts = new HashMap<>();
@@ -61,6 +64,16 @@
         || (contact != null && clock.since(contact.heard()).compareTo(SILENCE) < 0);
   }
 
+  /**
+   * Returns whether an entry VM was heard from so lately that no earlier owner can have been asked
+   * to go on with its jobs.
+   */
+  boolean heardLately(EntryId entry) {
+    Contact contact = contacts.get(entry);
+    return entry.equals(self)
+        || (contact != null && clock.since(contact.heard()).compareTo(LATELY) < 0);
+  }
+
   /** Forgets entry VMs that are silent. */
   void forgetSilent() {
     if (contacts.keySet().removeIf(entry -> !inContact(entry))) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -36,7 +36,7 @@
 final class ShardTenure implements JobService {
 
   /** Entry VMs submit jobs again within about a tenth of a second of learning the new owner. */
-  private static final Duration ORPHAN_GRACE = Duration.ofMillis(600);
+  private static final Duration ORPHAN_GRACE = Duration.ofMillis(300);
 
   /**
    * Time after which an owner that lost contact with an entry VM has ended that VM's jobs: the
@@ -214,7 +214,13 @@
     if (closed || !gate.admits(job)) {
       return false;
     }
-    return job.bestEffort() ? !fateUnknown(job) : log.leaseValid();
+    return job.bestEffort() ? awaited(job) && !fateUnknown(job) : log.leaseValid();
+  }
+
+  /** Returns whether an entry VM that waits for a job was heard from lately. */
+  private boolean awaited(Job job) {
+    return job.waiting().stream()
+        .anyMatch(waiter -> waiter.entry().filter(parts.contacts()::heardLately).isPresent());
   }
 
   /** Returns whether an earlier owner's runs of a job may still be at work unseen. */
@@ -240,6 +246,7 @@
       }
     }
     parts.contacts().forgetSilent();
+    placer.request();
     links.forgetGone();
     parts.timer().after(SWEEP_PERIOD, this::sweep);
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -177,7 +177,7 @@
   }
 
   boolean acceptsTasks() {
-    return serving() && timer.nanoTime() - avoidUntilNanos >= 0;
+    return serving() && !hasUnclaimedRuns() && timer.nanoTime() - avoidUntilNanos >= 0;
   }
 
   int runsOfStep(String jobId, int step) {
@@ -252,9 +252,18 @@
     if (active != null) {
       used = used.minus(active.resources).plus(resources);
       active.resources = resources;
+      active.unclaimed = false;
     }
   }
 
+  /**
+   * Returns whether a run is at work whose job is not known. An earlier owner may count it as over
+   * when the lease that it gave expires, so the lease must not be extended, and a start would.
+   */
+  private boolean hasUnclaimedRuns() {
+    return runs.values().stream().anyMatch(run -> run.unclaimed);
+  }
+
   /** Stops a run; its end is reported like any other. */
   void stop(TaskRun run) {
     ActiveRun active = runs.get(run);
@@ -376,7 +385,8 @@
     }
     reporting = true;
     reportRequested = false;
-    boolean extend = joined && !suspect && !runs.isEmpty() && listener.mayExtend(this);
+    boolean extend =
+        joined && !suspect && !runs.isEmpty() && !hasUnclaimedRuns() && listener.mayExtend(this);
     OptionalLong deadline =
         extend
             ? OptionalLong.of(workerClock() + bounds.longestWorkerLease().toMillis())
@@ -501,6 +511,7 @@
     ActiveRun active = new ActiveRun(found.resources(), timer.nanoTime());
     active.confirmed = true;
     active.confirmedNanos = timer.nanoTime();
+    active.unclaimed = found.goesOn() && found.resources().equals(Resources.NONE);
     add(run, active);
     if (!found.goesOn()) {
       stop(run);
@@ -567,6 +578,7 @@
     private boolean confirmed;
     private long confirmedNanos;
     private boolean doubtful;
+    private boolean unclaimed;
     private boolean stopping;
     private boolean stopConfirmed;
     private long stopConfirmedNanos;
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -118,6 +118,7 @@
 
     assertThat(answers).containsExactly(COMPLETED);
     assertThat(peers.submissions.get(1).repeated()).isTrue();
+    assertThat(peers.abandoned).containsExactly("first");
   }
 
   @Test
@@ -136,6 +137,7 @@
   private static final class ScriptedPeers implements PeerCalls {
     private final Deque<JobAnswer> script = new ArrayDeque<>();
     private final List<Submission> submissions = new ArrayList<>();
+    private final List<String> abandoned = new ArrayList<>();
     private final List<Consumer<JobAnswer>> open = new ArrayList<>();
 
     @Override
@@ -158,7 +160,9 @@
         }
 
         @Override
-        public void abandon(Submission submission) {}
+        public void abandon(Submission submission) {
+          abandoned.add(address);
+        }
 
         @Override
         public void state(String jobId, Consumer<JobAnswer> callback) {}
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -277,6 +277,43 @@
     assertThat(fleet.observer.problems()).isEmpty();
   }
 
+  @Test
+  void runOfAnUnknownJobIsNotExtendedWhileItsOwnerMayCountItAsOver() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(4)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 4000, true));
+    run(50);
+    // The first owner is cut off from one worker and from the store; the second reaches only both.
+    first.vm().storeConnection.setFault(FakeStore.Fault.SILENT);
+    FakeFleet.Vm second = fleet.vm("second");
+    for (FakeWorker worker : fleet.workers) {
+      boolean lost = worker == fleet.workers.getFirst();
+      fleet.network.setPath(lost ? "first" : "second", worker, FakeNetwork.Path.RESET);
+    }
+    run(600);
+    takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
+    run(4000);
+
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void taskIsNotStartedForAnEntryVmThatWasNotHeardFromLately() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(700)));
+    EntryVm entry = new EntryVm(new EntryId(77), "10.0.0.7:1", "a");
+    owner.vm().contacts.heard(entry);
+    Submission job = FakeFleet.job("job-1", 16, 700, true);
+    owner.submit(
+        new Submission(job.jobId(), job.queue(), job.spec(), job.patience(), entry.id(), false));
+    run(800);
+
+    // Eight run at once; the others would start after 0.7 s, when the entry VM was silent too long.
+    assertThat(fleet.observer.starts()).hasSize(8);
+  }
+
   @Test
   void repeatedJobWaitsForAWorkerWhoseEntryLapsed() {
     fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(900)));
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeNetwork.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeNetwork.java
@@ -26,6 +26,8 @@
     CUT,
     /** Orders arrive, answers do not. */
     ANSWERS_LOST,
+    /** Connections are refused, and reports under way are broken off. */
+    RESET,
     /** Orders are carried out three seconds later, without an answer. */
     LATE
   }
@@ -101,6 +103,7 @@
                   timer.after(LATENCY, () -> deliver(callback, outcome));
                 });
         case CUT -> noAnswer(timeout, callback);
+        case RESET -> timer.after(LATENCY, () -> deliver(callback, refused()));
         case ANSWERS_LOST -> {
           timer.after(LATENCY, () -> carryOut(action));
           noAnswer(timeout, callback);
@@ -135,7 +138,7 @@
           timer.after(LATENCY, () -> arrive(worker, order));
         }
         timer.after(
-            timeout.plus(order.longestWait()),
+            path == Path.RESET ? LATENCY : timeout.plus(order.longestWait()),
             () ->
                 deliver(
                     callback, new ReportOutcome.Missing(new OrderOutcome.Unknown("no answer"))));
@@ -170,6 +173,10 @@
 
     private void answerLater(WorkerEntry worker, Duration wait, Consumer<ReportOutcome> callback) {
       FakeWorker target = workers.get(worker.address());
+      if (path(worker) == Path.RESET) {
+        deliver(callback, new ReportOutcome.Missing(refused()));
+        return;
+      }
       if (wait.isPositive() && !target.hasEnds()) {
         timer.after(POLL, () -> answerLater(worker, wait.minus(POLL), callback));
         return;
@@ -178,6 +185,10 @@
       timer.after(LATENCY, () -> deliver(callback, outcome));
     }
 
+    private static OrderOutcome refused() {
+      return new OrderOutcome.Rejected(OrderOutcome.Reason.UNAVAILABLE, "connection refused");
+    }
+
     private <T> void deliver(Consumer<T> callback, T outcome) {
       if (!frozen.contains(vm)) {
         callback.accept(outcome);
