Add a randomized soak of the real entry VM processes

Change: module soak starts entry VMs as processes behind loopback proxies, draws faults from a seed, keeps clients submitting, and checks the promises from what clients and workers see.

--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -125,7 +125,7 @@
             new FleetBounds(
                 settings.longestWorkerLease(), settings.cancelWithin(), settings.statusRetention()),
             metrics);
-    EntryVm vm = new EntryVm(self, settings.peerAddress(), settings.failureDomain());
+    EntryVm vm = new EntryVm(self, settings.advertisedPeerAddress(), settings.failureDomain());
     PeerClient peerCalls = new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS), vm);
     router =
         new JobRouter(
--- a/node/src/main/java/org/lovagerack/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettings.java
@@ -10,6 +10,8 @@
  * @param clientAddress IP number and port for clients
  * @param readinessAddress IP number and port for the balancer's check
  * @param peerAddress IP number and port for other entry VMs
+ * @param advertisedPeerAddress IP number and port under which other entry VMs reach {@code
+ *     peerAddress}; the same unless something forwards connections to it
  * @param metricsAddress IP number and port for metrics
  * @param storeAddress IP number and port of the platform's store
  * @param processorShare share of each core that the VM has
@@ -26,6 +28,7 @@
     String clientAddress,
     String readinessAddress,
     String peerAddress,
+    String advertisedPeerAddress,
     String metricsAddress,
     String storeAddress,
     double processorShare,
--- a/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
@@ -47,6 +47,7 @@
             reader.address("clientAddress"),
             reader.address("readinessAddress"),
             reader.address("peerAddress"),
+            reader.addressOr("advertisedPeerAddress", "peerAddress"),
             reader.address("metricsAddress"),
             reader.address("storeAddress"),
             reader.fraction("processorShare", 1),
@@ -92,6 +93,11 @@
       return value;
     }
 
+    /** Returns the value of another field if this one is absent. */
+    String addressOr(String field, String otherField) {
+      return address(root.has(field) ? field : otherField);
+    }
+
     long number(String field, long smallest, long largest) {
       unread.remove(field);
       JsonNode value = root.path(field);
--- a/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
+++ b/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
@@ -68,13 +68,15 @@
     int clientPort = freePort();
     int readinessPort = freePort();
     int metricsPort = freePort();
+    String peerAddress = "127.0.0.1:" + freePort();
     NodeSettings settings =
         new NodeSettings(
             name,
             "zone-1",
             "127.0.0.1:" + clientPort,
             "127.0.0.1:" + readinessPort,
-            "127.0.0.1:" + freePort(),
+            peerAddress,
+            peerAddress,
             "127.0.0.1:" + metricsPort,
             "127.0.0.1:" + storePort,
             1,
--- a/node/src/test/java/org/lovagerack/node/settings/NodeSettingsLoaderTest.java
+++ b/node/src/test/java/org/lovagerack/node/settings/NodeSettingsLoaderTest.java
@@ -40,6 +40,17 @@
     assertThat(settings.stopWithin()).isEqualTo(Duration.ofSeconds(6));
   }
 
+  @Test
+  void peersAreGivenTheAdvertisedAddressIfThereIsOne() throws Exception {
+    assertThat(load(GOOD).advertisedPeerAddress()).isEqualTo("10.0.0.1:82");
+    String forwarded =
+        GOOD.replace(
+            "\"metricsAddress\"", "\"advertisedPeerAddress\": \"10.0.0.7:92\", \"metricsAddress\"");
+
+    assertThat(load(forwarded).advertisedPeerAddress()).isEqualTo("10.0.0.7:92");
+    assertThat(load(forwarded).peerAddress()).isEqualTo("10.0.0.1:82");
+  }
+
   @Test
   void everyProblemIsNamedWithItsValue() {
     String bad =
--- /dev/null
+++ b/soak/src/main/java/org/lovagerack/soak/SoakVm.java
@@ -0,0 +1,260 @@
+package org.lovagerack.soak;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.lovagerack.eventloop.HttpCaller;
+import org.lovagerack.eventloop.HttpReply;
+import org.lovagerack.foundation.timer.TimerService;
+
+/** One entry VM: its process, which is started again whenever it ends, and its proxies. */
+final class SoakVm {
+
+  private static final Duration READINESS_PERIOD = Duration.ofMillis(200);
+  private static final Duration READINESS_TIMEOUT = Duration.ofSeconds(1);
+
+  /** Longer than every objective of the soak's jobs, so that a planned stop has to cut none. */
+  private static final Duration STOP_WITHIN = Duration.ofMillis(2500);
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final int index;
+  private final TimerService timer;
+  private final Context context;
+  private final HttpCaller caller;
+  private final Disruptions disruptions;
+  private final Promises promises;
+  private final Consumer<String> violation;
+  private final Path settingsFile;
+  private final Path log;
+  private final int clientPort = freePort();
+  private final int peerPort = freePort();
+  private final int readinessPort = freePort();
+  private final FaultyProxy peerProxy;
+  private final FaultyProxy clientProxy;
+  private final FaultyProxy storeProxy;
+  private final Toggle<FaultyProxy.Mode> peerMode;
+  private final Toggle<FaultyProxy.Mode> clientMode;
+  private final Toggle<FaultyProxy.Mode> storeMode;
+  private int clientProxyPort;
+  private VmProcess process;
+  private Runnable endOfDowntime = () -> {};
+  private Duration downtime = Duration.ZERO;
+  private boolean exitExpected;
+  private boolean alive;
+  private boolean ready;
+  private boolean closed;
+  private int incarnation;
+
+  SoakVm(
+      int index,
+      Vertx vertx,
+      Context context,
+      TimerService timer,
+      HttpCaller caller,
+      Disruptions disruptions,
+      Promises promises,
+      Consumer<String> violation,
+      Path folder,
+      int storePort) {
+    this.index = index;
+    this.timer = timer;
+    this.context = context;
+    this.caller = caller;
+    this.disruptions = disruptions;
+    this.promises = promises;
+    this.violation = violation;
+    this.settingsFile = folder.resolve("vm-" + index + ".json");
+    this.log = folder.resolve("vm-" + index + ".log");
+    this.peerProxy = new FaultyProxy(vertx, timer, peerPort);
+    this.clientProxy = new FaultyProxy(vertx, timer, clientPort);
+    this.storeProxy = new FaultyProxy(vertx, timer, storePort);
+    this.peerMode = new Toggle<>(timer, FaultyProxy.Mode.PASS, peerProxy::setMode);
+    this.clientMode = new Toggle<>(timer, FaultyProxy.Mode.PASS, clientProxy::setMode);
+    this.storeMode = new Toggle<>(timer, FaultyProxy.Mode.PASS, storeProxy::setMode);
+  }
+
+  /** Opens the proxies, writes the settings and starts the first process. */
+  Future<Void> open() {
+    return Future.all(peerProxy.listen(0), clientProxy.listen(0), storeProxy.listen(0))
+        .map(
+            ports -> {
+              clientProxyPort = ports.resultAt(1);
+              writeSettings(ports.resultAt(0), ports.resultAt(2));
+              start();
+              timer.every(READINESS_PERIOD, this::checkReadiness);
+              return null;
+            });
+  }
+
+  /** Returns the address for clients. */
+  String clientAddress() {
+    return address(clientProxyPort);
+  }
+
+  /** Returns the address that no proxy disturbs. */
+  String directAddress() {
+    return address(clientPort);
+  }
+
+  /** Returns whether the process told that it is ready. */
+  boolean isReady() {
+    return ready;
+  }
+
+  /** Returns the number of processes that were started. */
+  int incarnation() {
+    return incarnation;
+  }
+
+  /** Returns the property of one kind of connections. */
+  Toggle<FaultyProxy.Mode> link(Fault.LinkKind kind) {
+    return switch (kind) {
+      case STORE -> storeMode;
+      case PEER -> peerMode;
+      case CLIENT -> clientMode;
+      case WORKER -> throw new IllegalArgumentException("connections to workers belong to no VM");
+    };
+  }
+
+  /** Sends a signal to the process; a process that is down already gets none. */
+  void disturb(Fault.ProcessAction action, Duration lasting) {
+    if (!alive) {
+      return;
+    }
+    switch (action) {
+      case KILL -> {
+        exitExpected = true;
+        downtime = lasting;
+        endOfDowntime = disruptions.begin(subject());
+        process.kill();
+      }
+      case TERMINATE -> {
+        exitExpected = true;
+        downtime = lasting;
+        Runnable end = disruptions.beginPlanned(subject());
+        process.onExit(() -> context.runOnContext(ignored -> end.run()));
+        process.terminate();
+      }
+      case PAUSE -> {
+        VmProcess paused = process;
+        Runnable end = disruptions.begin(subject());
+        paused.pause();
+        timer.after(
+            lasting,
+            () -> {
+              paused.resume();
+              end.run();
+            });
+      }
+      case RELOAD -> process.reload();
+    }
+  }
+
+  /** Ends the process for good. */
+  void close() {
+    closed = true;
+    process.kill();
+  }
+
+  private void start() {
+    incarnation++;
+    alive = true;
+    exitExpected = false;
+    promises.restarted(index);
+    process = VmProcess.start(settingsFile, log);
+    process.onExit(() -> context.runOnContext(ignored -> exited()));
+  }
+
+  private void exited() {
+    alive = false;
+    ready = false;
+    if (closed) {
+      return;
+    }
+    if (!exitExpected) {
+      violation.accept("the process of VM " + index + " ended by itself");
+    }
+    Runnable endOfKill = endOfDowntime;
+    Runnable endOfRestart = disruptions.begin(subject());
+    endOfDowntime =
+        () -> {
+          endOfKill.run();
+          endOfRestart.run();
+        };
+    timer.after(downtime, this::start);
+  }
+
+  private void checkReadiness() {
+    int asked = incarnation;
+    caller.call(
+        HttpMethod.GET,
+        address(readinessPort),
+        "/readiness",
+        Map.of(),
+        Buffer.buffer(),
+        READINESS_TIMEOUT,
+        reply -> {
+          boolean isOk = reply instanceof HttpReply.Response response && response.status() == 200;
+          ready = isOk && alive && asked == incarnation;
+          if (ready) {
+            endOfDowntime.run();
+            endOfDowntime = () -> {};
+          }
+        });
+  }
+
+  private String subject() {
+    return "process " + index;
+  }
+
+  private void writeSettings(int peerProxyPort, int storeProxyPort) {
+    ObjectNode root =
+        MAPPER
+            .createObjectNode()
+            .put("name", "vm-" + index)
+            .put("failureDomain", "zone-1")
+            .put("clientAddress", address(clientPort))
+            .put("readinessAddress", address(readinessPort))
+            .put("peerAddress", address(peerPort))
+            .put("advertisedPeerAddress", address(peerProxyPort))
+            .put("metricsAddress", address(freePort()))
+            .put("storeAddress", address(storeProxyPort))
+            .put("processorShare", 1)
+            .put("processorCores", 1)
+            .put("workersPerShard", 4)
+            .put("longestWorkerLeaseMillis", 1000)
+            .put("cancelWithinMillis", Promises.CANCEL_WITHIN.toMillis())
+            .put("statusRetentionMillis", 120_000)
+            .put("stopWithinMillis", STOP_WITHIN.toMillis());
+    try {
+      Files.writeString(settingsFile, root.toString());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static String address(int port) {
+    return "127.0.0.1:" + port;
+  }
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/org/lovagerack/soak/FaultyProxyTest.java
@@ -0,0 +1,128 @@
+package org.lovagerack.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.eventloop.EventLoopTimer;
+import org.lovagerack.eventloop.HttpCaller;
+import org.lovagerack.eventloop.HttpReply;
+
+/** What callers see of each disturbance of a proxy. */
+final class FaultyProxyTest {
+
+  /** Only ends a test that hangs; nothing is measured against it. */
+  private static final long HANG_SECONDS = 60;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final Context context = vertx.getOrCreateContext();
+  private final HttpCaller caller = new HttpCaller(vertx, 1);
+  private final List<String> served = new ArrayList<>();
+  private FaultyProxy proxy;
+  private int port;
+
+  @BeforeEach
+  void start() throws Exception {
+    CompletableFuture<Integer> listening = new CompletableFuture<>();
+    context.runOnContext(
+        ignored ->
+            vertx
+                .createHttpServer()
+                .requestHandler(
+                    request -> {
+                      served.add(request.path());
+                      request.response().end("whole");
+                    })
+                .listen(0, "127.0.0.1")
+                .map(HttpServer::actualPort)
+                .compose(this::openProxy)
+                .onSuccess(listening::complete));
+    port = listening.get(HANG_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private Future<Integer> openProxy(int serverPort) {
+    proxy = new FaultyProxy(vertx, new EventLoopTimer(vertx, context), serverPort);
+    return proxy.listen(0);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    vertx.close().toCompletionStage().toCompletableFuture().get(HANG_SECONDS, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void answersPassAlsoWhenTheyAreDelayed() throws Exception {
+    assertThat(call("/plain", Duration.ofSeconds(HANG_SECONDS)).get()).isEqualTo("whole");
+    setMode(FaultyProxy.Mode.DELAY);
+    assertThat(call("/delayed", Duration.ofSeconds(HANG_SECONDS)).get()).isEqualTo("whole");
+  }
+
+  @Test
+  void resetConnectionsServeNothing() throws Exception {
+    setMode(FaultyProxy.Mode.RESET);
+
+    assertThat(call("/reset", Duration.ofSeconds(HANG_SECONDS)).get()).isEqualTo("none");
+    assertThat(served).isEmpty();
+  }
+
+  @Test
+  void heldAnswerMeansThatTheRequestWasServedUnseen() throws Exception {
+    call("/opens", Duration.ofSeconds(HANG_SECONDS)).get();
+    setMode(FaultyProxy.Mode.ANSWERS_HELD);
+
+    assertThat(call("/unseen", Duration.ofMillis(200)).get()).isEqualTo("none");
+    assertThat(served).containsExactly("/opens", "/unseen");
+  }
+
+  @Test
+  void heldRequestArrivesWhenTheDisturbanceEnds() throws Exception {
+    call("/opens", Duration.ofSeconds(HANG_SECONDS)).get();
+    setMode(FaultyProxy.Mode.REQUESTS_HELD);
+    CompletableFuture<String> held = call("/held", Duration.ofSeconds(HANG_SECONDS));
+    setMode(FaultyProxy.Mode.PASS);
+
+    assertThat(held.get()).isEqualTo("whole");
+  }
+
+  private void setMode(FaultyProxy.Mode mode) throws Exception {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    context.runOnContext(
+        ignored -> {
+          proxy.setMode(mode);
+          done.complete(null);
+        });
+    done.get(HANG_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<String> call(String path, Duration timeout) {
+    CompletableFuture<String> answer = new CompletableFuture<>();
+    context.runOnContext(
+        ignored ->
+            caller.call(
+                HttpMethod.GET,
+                "127.0.0.1:" + port,
+                path,
+                Map.of(),
+                Buffer.buffer(),
+                timeout,
+                reply ->
+                    answer.complete(
+                        reply instanceof HttpReply.Response response
+                            ? response.body().toString()
+                            : "none")));
+    return answer;
+  }
+}
