Split the runs, the clock, the ends and the pause of a worker out of its link

Change: WorkerRuns, ActiveRun, WorkerClock, ListedEnds and StartPause are classes of their own. No behaviour changes.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -1,15 +1,10 @@
 package org.lovagerack.fleet.shard;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.lovagerack.fleet.job.Resources;
 import org.lovagerack.fleet.job.TaskRun;
@@ -89,22 +84,17 @@
 
   private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
 
-  /** Pause after a start without room; about the shortest task. */
-  private static final Duration FULL_PAUSE = Duration.ofMillis(40);
-
-  private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(250);
-  private static final int AVOIDANCE_DOUBLINGS = 4;
-
   private static final EventLog LOG = new EventLog(WorkerLink.class);
 
   private final TimerService timer;
   private final WorkerCalls calls;
   private final FleetBounds bounds;
   private final LongSupplier token;
-  private final ActiveTasks activeTasks;
   private final Listener listener;
-  private final Map<TaskRun, ActiveRun> runs = new HashMap<>();
-  private final TreeMap<Long, Boolean> listedEnds = new TreeMap<>();
+  private final WorkerRuns runs;
+  private final WorkerClock clock;
+  private final ListedEnds ends = new ListedEnds();
+  private final StartPause startPause;
   private WorkerEntry entry;
   private boolean listed = true;
   private long unlistedNanos;
@@ -114,15 +104,8 @@
   private boolean reporting;
   private boolean reportRequested;
   private long incarnation;
-  private long clockMillis;
-  private long clockReadNanos;
   private long lastExtensionNanos;
-  private long acknowledgedThrough;
-  private long processedThrough;
   private long nextIdleReportNanos;
-  private long avoidUntilNanos;
-  private int rejections;
-  private Resources used = Resources.NONE;
 
   WorkerLink(
       TimerService timer,
@@ -137,9 +120,10 @@
     this.bounds = bounds;
     this.token = token;
     this.entry = entry;
-    this.activeTasks = activeTasks;
     this.listener = listener;
-    this.avoidUntilNanos = timer.nanoTime();
+    this.runs = new WorkerRuns(activeTasks);
+    this.clock = new WorkerClock(timer);
+    this.startPause = new StartPause(timer);
     this.nextIdleReportNanos = timer.nanoTime();
   }
 
@@ -168,26 +152,20 @@
 
   /** Returns the runs that are ordered, at work, or cannot be excluded yet. */
   Set<TaskRun> runs() {
-    return Collections.unmodifiableSet(runs.keySet());
+    return runs.all();
   }
 
   /** Returns the resources that are free for tasks; nothing while the worker takes none. */
   Resources room() {
-    return acceptsTasks() ? entry.capacity().minus(used) : Resources.NONE;
+    return acceptsTasks() ? entry.capacity().minus(runs.used()) : Resources.NONE;
   }
 
   boolean acceptsTasks() {
-    return serving() && !hasUnclaimedRuns() && timer.nanoTime() - avoidUntilNanos >= 0;
+    return serving() && !hasUnclaimedRuns() && startPause.isOver();
   }
 
   int runsOfStep(String jobId, int step) {
-    int count = 0;
-    for (TaskRun run : runs.keySet()) {
-      if (run.task().jobId().equals(jobId) && run.task().step() == step) {
-        count++;
-      }
-    }
-    return count;
+    return runs.countOfStep(jobId, step);
   }
 
   /** Takes a changed entry of the directory. */
@@ -224,14 +202,14 @@
 
   /** Starts a run; the listener hears of its fate. */
   void start(TaskRun run, String specification, Resources resources) {
-    ActiveRun active = new ActiveRun(resources, timer.nanoTime());
-    add(run, active);
+    ActiveRun active = ActiveRun.ordered(resources, timer.nanoTime());
+    runs.add(run, active);
     lastExtensionNanos = timer.nanoTime();
     StartOrder order =
         new StartOrder(
             run,
             specification,
-            workerClock() + bounds.longestWorkerLease().toMillis(),
+            clock.reachedMillis() + bounds.longestWorkerLease().toMillis(),
             token.getAsLong());
     long incarnationAtStart = incarnation;
     calls.start(
@@ -248,12 +226,7 @@
 
   /** Tells the resources of a run that was found at work. */
   void adopt(TaskRun run, Resources resources) {
-    ActiveRun active = runs.get(run);
-    if (active != null) {
-      used = used.minus(active.resources).plus(resources);
-      active.resources = resources;
-      active.unclaimed = false;
-    }
+    runs.claim(run, resources);
   }
 
   /**
@@ -261,14 +234,14 @@
    * when the lease that it gave expires, so the lease must not be extended, and a start would.
    */
   private boolean hasUnclaimedRuns() {
-    return runs.values().stream().anyMatch(run -> run.unclaimed);
+    return runs.any(ActiveRun::unclaimed);
   }
 
   /** Stops a run; its end is reported like any other. */
   void stop(TaskRun run) {
     ActiveRun active = runs.get(run);
-    if (active != null && !active.stopping) {
-      active.stopping = true;
+    if (active != null && !active.stopping()) {
+      active.stop();
       sendStop(run);
     }
   }
@@ -284,22 +257,17 @@
 
   /** Allows the worker to forget an end, if it is the same process that listed it. */
   void settle(long listedByIncarnation, long number) {
-    if (listedByIncarnation != incarnation || number <= acknowledgedThrough) {
-      return;
-    }
-    listedEnds.put(number, true);
-    while (!listedEnds.isEmpty() && listedEnds.firstEntry().getValue()) {
-      acknowledgedThrough = listedEnds.pollFirstEntry().getKey();
+    if (listedByIncarnation == incarnation) {
+      ends.settle(number);
     }
   }
 
   private void startAnswered(TaskRun run, ActiveRun active, long usedToken, OrderOutcome outcome) {
     switch (outcome) {
       case OrderOutcome.Done done -> {
-        readClock(done.clockMillis());
-        rejections = 0;
-        active.confirmedNanos = timer.nanoTime();
-        active.confirmed = true;
+        clock.read(done.clockMillis());
+        startPause.accepted();
+        active.confirm(timer.nanoTime());
         listener.started(this, run);
       }
       case OrderOutcome.Rejected rejected -> startRejected(run, usedToken, rejected);
@@ -307,8 +275,7 @@
         LOG.write(
             LogEvent.START_UNANSWERED, "task", run, "worker", id(), "detail", unknown.detail());
         // A stop also keeps a run from starting that has not arrived yet.
-        active.stopping = true;
-        active.doubtful = true;
+        active.doubt();
         sendStop(run);
       }
     }
@@ -325,23 +292,13 @@
         rejected.reason(),
         "detail",
         rejected.detail());
-    forget(run);
-    long now = timer.nanoTime();
+    runs.forget(run);
+    startPause.rejected(rejected.reason());
     switch (rejected.reason()) {
-      case NO_ROOM -> avoidUntilNanos = now + FULL_PAUSE.toNanos();
-      case EXPIRED, OTHER_INCARNATION -> {
-        avoidUntilNanos = now + RETRY_PAUSE.toNanos();
-        requestReport();
-      }
-      case UNAVAILABLE, MALFORMED -> {
-        avoidUntilNanos =
-            now + (FIRST_AVOIDANCE.toNanos() << Math.min(rejections, AVOIDANCE_DOUBLINGS));
-        rejections++;
-      }
-      case SUPERSEDED -> {}
-      case FENCED -> {
-        avoidUntilNanos = now + RETRY_PAUSE.toNanos();
-        listener.fenced(this, usedToken);
+      case EXPIRED, OTHER_INCARNATION -> requestReport();
+      case FENCED -> listener.fenced(this, usedToken);
+      case NO_ROOM, UNAVAILABLE, MALFORMED, SUPERSEDED -> {
+        // Nothing to learn but the pause.
       }
     }
     listener.lost(this, run, "start rejected: " + rejected.reason());
@@ -360,9 +317,8 @@
             return;
           }
           if (outcome instanceof OrderOutcome.Done done) {
-            readClock(done.clockMillis());
-            active.stopConfirmed = true;
-            active.stopConfirmedNanos = timer.nanoTime();
+            clock.read(done.clockMillis());
+            active.confirmStop(timer.nanoTime());
             requestReport();
           } else if (outcome instanceof OrderOutcome.Rejected rejected
               && rejected.reason() == OrderOutcome.Reason.FENCED) {
@@ -389,15 +345,15 @@
         joined && !suspect && !runs.isEmpty() && !hasUnclaimedRuns() && listener.mayExtend(this);
     OptionalLong deadline =
         extend
-            ? OptionalLong.of(workerClock() + bounds.longestWorkerLease().toMillis())
+            ? OptionalLong.of(clock.reachedMillis() + bounds.longestWorkerLease().toMillis())
             : OptionalLong.empty();
     if (extend) {
       lastExtensionNanos = timer.nanoTime();
     }
-    boolean waits = extend && runs.values().stream().noneMatch(run -> run.stopConfirmed);
+    boolean waits = extend && !runs.any(ActiveRun::stopConfirmed);
     // Numbers of ends start anew in each incarnation, so a worker that may have started again is
     // not told to forget any.
-    long acknowledge = joined && !suspect ? acknowledgedThrough : 0;
+    long acknowledge = joined && !suspect ? ends.acknowledgedThrough() : 0;
     long sentNanos = timer.nanoTime();
     long usedToken = token.getAsLong();
     calls.report(
@@ -441,15 +397,12 @@
           incarnation,
           "now",
           report.incarnation());
-      listedEnds.clear();
-      acknowledgedThrough = 0;
-      processedThrough = 0;
+      ends.restart();
       incarnation = report.incarnation();
       loseAllRuns("the worker has started again");
     }
     incarnation = report.incarnation();
-    clockMillis = 0;
-    readClock(report.clockMillis());
+    clock.restart(report.clockMillis());
     boolean first = !joined;
     if (suspect) {
       suspect = false;
@@ -467,17 +420,15 @@
 
   private void processEnds(WorkerReport report) {
     for (RunEnd end : report.ends()) {
-      if (end.number() <= processedThrough) {
+      if (!ends.add(end.number())) {
         continue;
       }
-      processedThrough = end.number();
-      listedEnds.put(end.number(), false);
       ActiveRun active = runs.get(end.run());
       Duration ranFor =
-          active == null || !active.confirmed
+          active == null || !active.confirmed()
               ? Duration.ZERO
-              : Duration.ofNanos(timer.nanoTime() - active.confirmedNanos);
-      forget(end.run());
+              : Duration.ofNanos(timer.nanoTime() - active.confirmedNanos());
+      runs.forget(end.run());
       listener.ended(this, end, new EndReceipt(this, incarnation, end.number()), ranFor);
     }
   }
@@ -489,30 +440,25 @@
       ActiveRun known = runs.get(running.run());
       if (known == null) {
         meet(running.run());
-      } else if (!known.confirmed && !known.doubtful) {
-        known.confirmed = true;
-        known.confirmedNanos = timer.nanoTime();
+      } else if (known.awaitsConfirmation()) {
+        known.confirm(timer.nanoTime());
         listener.started(this, running.run());
       }
     }
     boolean complete = report.ends().size() < REPORT_LIMIT;
-    for (Map.Entry<TaskRun, ActiveRun> active : List.copyOf(runs.entrySet())) {
-      if (complete
-          && !atWork.contains(active.getKey())
-          && active.getValue().shouldHaveBeenSeen(sentNanos)) {
-        forget(active.getKey());
-        listener.lost(this, active.getKey(), "the worker does not know the run");
-      }
-    }
+    runs.forEach(
+        (run, active) -> {
+          if (complete && !atWork.contains(run) && active.shouldHaveBeenSeen(sentNanos)) {
+            runs.forget(run);
+            listener.lost(this, run, "the worker does not know the run");
+          }
+        });
   }
 
   private void meet(TaskRun run) {
     Found found = listener.found(this, run);
-    ActiveRun active = new ActiveRun(found.resources(), timer.nanoTime());
-    active.confirmed = true;
-    active.confirmedNanos = timer.nanoTime();
-    active.unclaimed = found.goesOn() && found.resources().equals(Resources.NONE);
-    add(run, active);
+    boolean unclaimed = found.goesOn() && found.resources().equals(Resources.NONE);
+    runs.add(run, ActiveRun.found(found.resources(), unclaimed, timer.nanoTime()));
     if (!found.goesOn()) {
       stop(run);
     }
@@ -537,63 +483,8 @@
   }
 
   private void loseAllRuns(String reason) {
-    List<TaskRun> lost = new ArrayList<>(runs.keySet());
-    lost.forEach(this::forget);
+    List<TaskRun> lost = List.copyOf(runs.all());
+    lost.forEach(runs::forget);
     lost.forEach(run -> listener.lost(this, run, reason));
   }
-
-  private void add(TaskRun run, ActiveRun active) {
-    runs.put(run, active);
-    used = used.plus(active.resources);
-    activeTasks.add(run.task());
-  }
-
-  private void forget(TaskRun run) {
-    ActiveRun active = runs.remove(run);
-    if (active != null) {
-      activeTasks.remove(run.task());
-      used = used.minus(active.resources);
-    }
-  }
-
-  private void readClock(long workerMillis) {
-    if (workerMillis >= workerClock()) {
-      clockMillis = workerMillis;
-      clockReadNanos = timer.nanoTime();
-    }
-  }
-
-  /** Returns a time that the worker's clock has certainly reached. */
-  private long workerClock() {
-    if (clockMillis == 0) {
-      return 0;
-    }
-    long elapsed = Duration.ofNanos(timer.nanoTime() - clockReadNanos).toMillis();
-    return clockMillis + elapsed * 49 / 50;
-  }
-
-  private static final class ActiveRun {
-    private Resources resources;
-    private final long orderedNanos;
-    private boolean confirmed;
-    private long confirmedNanos;
-    private boolean doubtful;
-    private boolean unclaimed;
-    private boolean stopping;
-    private boolean stopConfirmed;
-    private long stopConfirmedNanos;
-
-    ActiveRun(Resources resources, long orderedNanos) {
-      this.resources = resources;
-      this.orderedNanos = orderedNanos;
-    }
-
-    /** Returns whether a report asked for at a time must list the run unless it is not there. */
-    boolean shouldHaveBeenSeen(long sentNanos) {
-      if (stopConfirmed) {
-        return sentNanos - stopConfirmedNanos > 0;
-      }
-      return confirmed && sentNanos - confirmedNanos > 0 && sentNanos - orderedNanos > 0;
-    }
-  }
 }
