Exclude starts that may reach the next process of a worker

A start that was under way reached the new process, while the owner took the change of the process as the end of all runs and started the task anew. Change: a run that was not confirmed when the worker started again is stopped, and its task waits until a report shows that it is not there; a run that the new process lists goes on. Before: two tests with a restart between order and arrival failed with two runs at once. After: they pass. Ruled out: Expected-Instance, which names the worker's id and does not change with the process.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -388,7 +388,8 @@
   }
 
   private void receive(WorkerReport report, long sentNanos) {
-    if (joined && report.incarnation() != incarnation) {
+    boolean restarted = joined && report.incarnation() != incarnation;
+    if (restarted) {
       LOG.write(
           LogEvent.WORKER_RESTARTED,
           "worker",
@@ -398,8 +399,6 @@
           "now",
           report.incarnation());
       ends.restart();
-      incarnation = report.incarnation();
-      loseAllRuns("the worker has started again");
     }
     incarnation = report.incarnation();
     clock.restart(report.clockMillis());
@@ -411,6 +410,9 @@
     joined = true;
     processEnds(report);
     processRunning(report, sentNanos);
+    if (restarted) {
+      runs.forEach(this::excludeUnconfirmed);
+    }
     if (first) {
       listener.joined(this);
     }
@@ -418,6 +420,18 @@
     scheduleNextReport();
   }
 
+  /**
+   * Keeps a start that was under way when the worker started again from running in the new process,
+   * unless it is at work there already. Runs that were confirmed before are lost, as the report
+   * does not list them.
+   */
+  private void excludeUnconfirmed(TaskRun run, ActiveRun active) {
+    if (!active.confirmed() && !active.stopping()) {
+      active.doubt();
+      sendStop(run);
+    }
+  }
+
   private void processEnds(WorkerReport report) {
     for (RunEnd end : report.ends()) {
       if (!ends.add(end.number())) {
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -193,6 +193,37 @@
     assertThat(fleet.observer.problems()).isEmpty();
   }
 
+  @Test
+  void startThatReachesTheNextProcessOfAWorkerIsNotRepeatedBesideIt() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 8, 100, true));
+    fleet.timer.advance(Duration.ofNanos(500_000));
+    fleet.workers.forEach(FakeWorker::restart);
+    fleet.workers.forEach(worker -> owner.vm().directory.put(worker.entry()));
+    run(2500);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void lateStartThatReachesTheNextProcessOfAWorkerIsNotRepeatedBesideIt() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    FakeWorker reborn = fleet.workers.getFirst();
+    fleet.network.setPath("first", reborn, FakeNetwork.Path.ANSWERS_LOST);
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 8, 100, true));
+    fleet.timer.advance(Duration.ofNanos(500_000));
+    reborn.restart();
+    fleet.network.setPath("first", reborn, FakeNetwork.Path.OPEN);
+    owner.vm().directory.put(reborn.entry());
+    run(2500);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
   @Test
   void drainingWorkerGetsNoFurtherTasks() {
     OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
