Leave ends and states of stored jobs to the shard's owner during an island

An island acknowledged the ends of runs whose jobs it does not know, which the owner then never learned; and it answered that a job is unknown which the owner had stored. Change: an island settles ends of its own jobs only, and refuses states and cancellations of jobs that it does not know. Before: both new tests of IslandSeatTest failed. After: they pass.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -170,7 +170,10 @@
     Optional<Task> found = book.find(end.run().task());
     if (found.isEmpty()) {
       orphans.takeEnd(end.run(), end.kind() == RunEnd.Kind.DONE);
-      receipt.settle();
+      // An island has read no stored jobs: the end may be one that the shard's owner waits for.
+      if (log.wholeShard()) {
+        receipt.settle();
+      }
       return;
     }
     Task task = found.get();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -385,6 +385,9 @@
       callback.accept(new JobAnswer.State(end.get()));
     } else if (job.isPresent() || !recovered) {
       callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER_OUTAGE));
+    } else if (!log.wholeShard()) {
+      // The job may be stored, which an island cannot see.
+      callback.accept(new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, RETRY_AFTER_OUTAGE));
     } else {
       readEnded(jobId, callback);
     }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/IslandSeatTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/IslandSeatTest.java
@@ -18,6 +18,7 @@
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeNetwork;
+import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.FakeWorker;
 import org.lovagerack.fleet.support.OwnedVm;
 import org.lovagerack.foundation.error.ErrorKind;
@@ -115,6 +116,52 @@
     assertThat(fleet.observer.problems()).isEmpty();
   }
 
+  @Test
+  void endsOfJobsThatTheOwnerStoredAreLeftToTheOwner() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(700)));
+    OwnedVm owner = fleet.vm("owner").takeShard().orElseThrow();
+    run(50);
+    owner.submit(FakeFleet.job("kept", 6, 700, false));
+    run(100);
+    cut(FakeNetwork.Path.CUT);
+    owner.vm().storeConnection.setFault(FakeStore.Fault.SILENT);
+    // The reports that the owner waits for have run out when the tasks end.
+    run(400);
+    learn(self);
+    assertThat(island.cutOff(owner.shard().token())).isTrue();
+    run(1500);
+    cut(FakeNetwork.Path.OPEN);
+    island.reconnected();
+    owner.vm().storeConnection.setFault(FakeStore.Fault.NONE);
+    run(6000);
+
+    assertThat(owner.state("kept")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void jobThatTheIslandDoesNotKnowMayBeStored() {
+    OwnedVm owner = fleet.vm("owner").takeShard().orElseThrow();
+    run(50);
+    owner.submit(FakeFleet.job("kept", 2, 200, false));
+    run(50);
+    learn(self);
+    assertThat(island.cutOff(owner.shard().token())).isTrue();
+    run(50);
+    List<JobAnswer> answers = new ArrayList<>();
+    JobService jobs = island.ownJobs().orElseThrow();
+    jobs.state("kept", answers::add);
+    jobs.cancel("kept", answers::add);
+    run(50);
+
+    assertThat(answers)
+        .hasSize(2)
+        .allMatch(
+            answer ->
+                answer instanceof JobAnswer.Refused refused
+                    && refused.kind() == ErrorKind.PLATFORM_UNAVAILABLE);
+  }
+
   private static final class Peers implements PeerCalls {
     private final Set<String> alive = new HashSet<>();
 
