Handle SIGHUP from the first moment of main

Change: it is installed first, and does nothing until the settings were read. The JVM's own start of some tens of milliseconds stays uncovered.

--- a/node/src/main/java/org/lovagerack/node/NodeMain.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMain.java
@@ -8,6 +8,7 @@
 import java.security.SecureRandom;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -32,6 +33,9 @@
 
   private static final EventLog LOG = new EventLog(NodeMain.class);
 
+  /** What SIGHUP does; nothing until the settings were read for the first time. */
+  private static final AtomicReference<Runnable> ON_HANGUP = new AtomicReference<>(() -> {});
+
   private final Path settingsFile;
   private final NodeSettings settings;
 
@@ -42,6 +46,8 @@
 
   /** Runs the entry VM until it is told to stop. */
   public static void main(String[] arguments) {
+    // Comes first: until then, SIGHUP ends the process.
+    HangupSignal.handle(() -> ON_HANGUP.get().run());
     ArgumentParser parser =
         ArgumentParsers.newFor("lovagerack-node")
             .build()
@@ -97,7 +103,7 @@
     Vertx vertx = vertx();
     Context context = vertx.getOrCreateContext();
     context.exceptionHandler(cause -> LOG.write(LogEvent.UNEXPECTED_ERROR, cause));
-    HangupSignal.handle(this::reload);
+    ON_HANGUP.set(this::reload);
     context.runOnContext(ignored -> start(vertx, context));
   }
 
