--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -1,6 +1,8 @@
 package org.lovagerack.fleet.entry;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -30,20 +32,12 @@
   /** Longest wait of one call that follows the owners; bounds how long a silent one is trusted. */
   private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
 
-  /** An owner of a shard of 40 workers uses about a seventh of a core, and more in a burst. */
-  private static final double STRONG_CORES = 0.6;
-
-  /** About a takeover's length: a weak VM waits until the strong ones have had their try. */
-  private static final Duration LONGEST_RELUCTANCE = Duration.ofMillis(300);
-
-  private static final Duration RELUCTANCE_PER_SHARD = Duration.ofMillis(150);
-
   private final TimerService timer;
   private final RandomGenerator random;
   private final PeerCalls peers;
   private final OwnedShardFactory parts;
   private final EntryVm self;
-  private final double cores;
+  private final TakeoverTurns turns;
   private final ShardLayout layout;
   private final StoredJobs storedJobs;
 
@@ -51,6 +45,10 @@
   private ShardMap map;
 
   private List<ShardSeat> seats = List.of();
+
+  /** Differs between VMs, so that each first looks after another shard. */
+  private List<ShardSeat> startOrder = List.of();
+
   private boolean retired;
 
   /**
@@ -58,7 +56,7 @@
    *
    * @param parts what the owner of a shard needs; its workers are those of all shards
    * @param self this VM
-   * @param cores processor of this VM, cores
+   * @param cores processor that one thread of this VM can use, cores
    * @param workersPerShard workers that one owner is to order
    */
   public JobRouter(
@@ -74,7 +72,7 @@
     this.peers = peers;
     this.parts = parts;
     this.self = self;
-    this.cores = cores;
+    this.turns = new TakeoverTurns(timer, random, cores, this::ownedShards);
     this.layout = new ShardLayout(timer, parts.store(), parts.workers(), workersPerShard);
     this.storedJobs = new StoredJobs(parts.store());
   }
@@ -104,7 +102,9 @@
             Duration.ZERO,
             new OwnerListener())
         .start();
-    seats.forEach(ShardSeat::start);
+    startOrder = new ArrayList<>(seats);
+    Collections.shuffle(startOrder, random);
+    startOrder.forEach(ShardSeat::start);
   }
 
   private ShardSeat newSeat(OwnedShardFactory shardParts, int shard) {
@@ -119,23 +119,7 @@
             self.id().incarnation(),
             shardParts);
     return new ShardSeat(
-        timer,
-        random,
-        peers,
-        lease,
-        new IslandSeat(timer, peers, shardParts, rows, self),
-        this::reluctance,
-        shard);
-  }
-
-  /**
-   * Returns how long this VM waits before it takes a shard, so that strong VMs with few shards come
-   * first.
-   */
-  private Duration reluctance() {
-    double weakness = Math.max(0, STRONG_CORES - cores) / STRONG_CORES;
-    return Duration.ofNanos((long) (weakness * LONGEST_RELUCTANCE.toNanos()))
-        .plus(RELUCTANCE_PER_SHARD.multipliedBy(ownedShards()));
+        timer, peers, lease, new IslandSeat(timer, peers, shardParts, rows, self), turns, shard);
   }
 
   /** Returns what this process knows of the fleet. */
@@ -298,7 +282,7 @@
 
     @Override
     public void loaded() {
-      seats.forEach(ShardSeat::ownersLoaded);
+      startOrder.forEach(ShardSeat::ownersLoaded);
     }
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
-import java.util.random.RandomGenerator;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.shard.LeaseRecord;
@@ -32,19 +30,15 @@
   /** Unanswered probes after which the owner counts as unreachable. */
   private static final int CERTAINLY_UNANSWERED = 2;
 
-  /** Spreads the attempts of several VMs to take one shard. */
-  private static final Duration LONGEST_JITTER = Duration.ofMillis(60);
-
   private static final Duration RETRY = Duration.ofMillis(250);
 
   private static final EventLog LOG = new EventLog(ShardSeat.class);
 
   private final TimerService timer;
-  private final RandomGenerator random;
   private final PeerCalls peers;
   private final ShardLease lease;
   private final IslandSeat island;
-  private final Supplier<Duration> reluctance;
+  private final TakeoverTurns turns;
   private final int shard;
   private final Set<SubmissionRelay> relays = new LinkedHashSet<>();
   private LeaseRecord owner;
@@ -57,18 +51,16 @@
 
   ShardSeat(
       TimerService timer,
-      RandomGenerator random,
       PeerCalls peers,
       ShardLease lease,
       IslandSeat island,
-      Supplier<Duration> reluctance,
+      TakeoverTurns turns,
       int shard) {
     this.timer = timer;
-    this.random = random;
     this.peers = peers;
     this.lease = lease;
     this.island = island;
-    this.reluctance = reluctance;
+    this.turns = turns;
     this.shard = shard;
   }
 
@@ -244,7 +236,7 @@
     taking = true;
     LeaseRecord silent = owner;
     timer.after(
-        reluctance.get(),
+        turns.delay(),
         () -> {
           if (retired || owned != null || !silent.equals(owner)) {
             taking = false;
@@ -260,14 +252,18 @@
     }
     taking = true;
     Optional<LeaseRecord> believed = Optional.ofNullable(owner);
-    Duration jitter = reluctance.get().plusNanos(random.nextLong(LONGEST_JITTER.toNanos()));
-    timer.after(
-        jitter,
-        () -> {
+    turns.add(
+        ended -> {
           if (retired || owned != null || !believed.equals(Optional.ofNullable(owner))) {
             taking = false;
+            ended.run();
           } else {
-            lease.take(believed, this::takeEnded);
+            lease.take(
+                believed,
+                result -> {
+                  takeEnded(result);
+                  ended.run();
+                });
           }
         });
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/FleetBounds.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/FleetBounds.java
@@ -6,11 +6,9 @@
  * Bounds that the platform sets.
  *
  * @param longestWorkerLease longest lease that a worker grants
- * @param cancelWithin time within which the tasks of a cancelled job must be gone
  * @param statusRetention time for which the state of an ended job can be asked for
  */
-public record FleetBounds(
-    Duration longestWorkerLease, Duration cancelWithin, Duration statusRetention) {
+public record FleetBounds(Duration longestWorkerLease, Duration statusRetention) {
 
   /** Slack for clocks of workers that run up to 2 % slow, as the platform's pages allow. */
   private static final double CLOCK_DRIFT = 1.02;
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobRouterTest.java
@@ -0,0 +1,111 @@
+package org.lovagerack.fleet.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.JobService;
+import org.lovagerack.fleet.support.FakeFleet;
+
+/** Plays entry VMs that look for shards to own, and checks how the shards are spread. */
+final class JobRouterTest {
+
+  private static final int SHARDS = 4;
+  private static final double STRONG = 0.75;
+  private static final double WEAK = 0.27;
+
+  private final FakeFleet fleet = new FakeFleet(12, Duration.ofMillis(50));
+  private final List<JobRouter> routers = new ArrayList<>();
+
+  private JobRouter start(String name, double cores, long seed) {
+    FakeFleet.Vm vm = fleet.vm(name);
+    JobRouter router =
+        new JobRouter(
+            fleet.timer,
+            new SplittableRandom(seed),
+            new LivingPeers(),
+            vm.parts,
+            new EntryVm(vm.id, name, "a"),
+            cores,
+            fleet.workers.size() / SHARDS);
+    routers.add(router);
+    router.start();
+    return router;
+  }
+
+  private void run(long millis) {
+    fleet.timer.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void shardsOfANewFleetAreSpreadOverItsStrongVms() {
+    for (int seed = 0; seed < 20; seed++) {
+      routers.clear();
+      JobRouterTest fresh = new JobRouterTest();
+      for (int vm = 0; vm < 8; vm++) {
+        fresh.start("strong-" + vm, STRONG, 100 * seed + vm);
+        fresh.start("weak-" + vm, WEAK, 100 * seed + 50 + vm);
+      }
+      fresh.run(6000);
+
+      assertThat(fresh.routers.stream().map(JobRouter::ownedShards))
+          .as("shards of each VM with seed %d", seed)
+          .allMatch(shards -> shards <= 1);
+      assertThat(fresh.strongOwners()).isEqualTo(SHARDS);
+    }
+  }
+
+  @Test
+  void singleVmTakesEveryShard() {
+    JobRouter router = start("only", WEAK, 1);
+    run(6000);
+
+    assertThat(router.ownedShards()).isEqualTo(SHARDS);
+    assertThat(router.ready()).isTrue();
+  }
+
+  @Test
+  void shardsOfAVmThatStopsAreSpreadOverTheOthers() {
+    JobRouter leaving = start("only", STRONG, 1);
+    run(6000);
+    for (int vm = 0; vm < 8; vm++) {
+      start("later-" + vm, STRONG, 10 + vm);
+    }
+    run(3000);
+    leaving.retire(() -> {});
+    run(2000);
+
+    assertThat(routers.stream().mapToLong(JobRouter::ownedShards).sum()).isEqualTo(SHARDS);
+    assertThat(routers).allMatch(router -> router.ownedShards() <= 2);
+  }
+
+  private long strongOwners() {
+    return IntStream.range(0, routers.size())
+        .filter(vm -> vm % 2 == 0)
+        .mapToLong(vm -> routers.get(vm).ownedShards())
+        .sum();
+  }
+
+  private static final class LivingPeers implements PeerCalls {
+    @Override
+    public void probe(
+        String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
+      callback.accept(new Alive(0));
+    }
+
+    @Override
+    public void view(
+        String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {}
+
+    @Override
+    public JobService jobsAt(String address, long incarnation) {
+      throw new IllegalStateException("no job is submitted in this test");
+    }
+  }
+}
--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -122,14 +122,19 @@
             worker -> true,
             contacts,
             configuration,
-            new FleetBounds(
-                settings.longestWorkerLease(), settings.cancelWithin(), settings.statusRetention()),
+            new FleetBounds(settings.longestWorkerLease(), settings.statusRetention()),
             metrics);
     EntryVm vm = new EntryVm(self, settings.advertisedPeerAddress(), settings.failureDomain());
     PeerClient peerCalls = new PeerClient(new HttpCaller(vertx, PEER_CONNECTIONS), vm);
     router =
         new JobRouter(
-            timer, random, peerCalls, factory, vm, settings.cores(), settings.workersPerShard());
+            timer,
+            random,
+            peerCalls,
+            factory,
+            vm,
+            settings.processorShare(),
+            settings.workersPerShard());
     clients = new ClientInterface(timer, configuration, router, self);
     peers = new PeerServer(router, contacts, incarnation);
   }
--- a/node/src/main/java/org/lovagerack/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettings.java
@@ -14,11 +14,9 @@
  *     peerAddress}; the same unless something forwards connections to it
  * @param metricsAddress IP number and port for metrics
  * @param storeAddress IP number and port of the platform's store
- * @param processorShare share of each core that the VM has
- * @param processorCores number of its cores
+ * @param processorShare share of each core that the VM has, which one thread can use
  * @param workersPerShard workers that one owner is to order; decides the number of shards once
  * @param longestWorkerLease longest lease that a worker grants
- * @param cancelWithin time within which the tasks of a cancelled job must be gone
  * @param statusRetention time for which the state of an ended job is kept
  * @param stopWithin time between SIGTERM and the end of the process
  */
@@ -32,15 +30,7 @@
     String metricsAddress,
     String storeAddress,
     double processorShare,
-    double processorCores,
     int workersPerShard,
     Duration longestWorkerLease,
-    Duration cancelWithin,
     Duration statusRetention,
-    Duration stopWithin) {
-
-  /** Returns the processor of the VM in whole cores. */
-  public double cores() {
-    return processorShare * processorCores;
-  }
-}
+    Duration stopWithin) {}
--- a/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
+++ b/node/src/main/java/org/lovagerack/node/settings/NodeSettingsLoader.java
@@ -20,7 +20,6 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final long MAX_MILLIS = 86_400_000;
   private static final int MAX_WORKERS = 100_000;
-  private static final double MAX_CORES = 1024;
   private static final int MAX_PORT = 65_535;
 
   /**
@@ -51,10 +50,8 @@
             reader.address("metricsAddress"),
             reader.address("storeAddress"),
             reader.fraction("processorShare", 1),
-            reader.fraction("processorCores", MAX_CORES),
             (int) reader.number("workersPerShard", 1, MAX_WORKERS),
             reader.millis("longestWorkerLeaseMillis"),
-            reader.millis("cancelWithinMillis"),
             reader.millis("statusRetentionMillis"),
             reader.millis("stopWithinMillis"));
     reader.finish(file);
--- a/soak/src/main/java/org/lovagerack/soak/SoakVm.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakVm.java
@@ -54,6 +54,7 @@
   private Duration downtime = Duration.ZERO;
   private boolean exitExpected;
   private boolean alive;
+  private boolean reached;
   private boolean ready;
   private boolean closed;
   private int incarnation;
@@ -159,7 +160,12 @@
               end.run();
             });
       }
-      case RELOAD -> process.reload();
+      case RELOAD -> {
+        // A JVM that has not reached its main method ends by SIGHUP, whatever the program does.
+        if (reached) {
+          process.reload();
+        }
+      }
     }
   }
 
@@ -172,6 +178,7 @@
   private void start() {
     incarnation++;
     alive = true;
+    reached = false;
     exitExpected = false;
     promises.restarted(index);
     process = VmProcess.start(settingsFile, log);
@@ -207,8 +214,10 @@
         Buffer.buffer(),
         READINESS_TIMEOUT,
         reply -> {
-          boolean isOk = reply instanceof HttpReply.Response response && response.status() == 200;
-          ready = isOk && alive && asked == incarnation;
+          boolean isCurrent = alive && asked == incarnation;
+          reached |= isCurrent && reply instanceof HttpReply.Response;
+          ready =
+              isCurrent && reply instanceof HttpReply.Response response && response.status() == 200;
           if (ready) {
             endOfDowntime.run();
             endOfDowntime = () -> {};
@@ -233,10 +242,8 @@
             .put("metricsAddress", address(freePort()))
             .put("storeAddress", address(storeProxyPort))
             .put("processorShare", 1)
-            .put("processorCores", 1)
             .put("workersPerShard", 4)
             .put("longestWorkerLeaseMillis", 1000)
-            .put("cancelWithinMillis", Promises.CANCEL_WITHIN.toMillis())
             .put("statusRetentionMillis", 120_000)
             .put("stopWithinMillis", STOP_WITHIN.toMillis());
     try {
