Share the stop hook of both programs, and forget the speeds of workers that are gone

Cause: the hook stood in both main classes, and nothing called WorkerSpeeds.forget, so that speeds were kept for good. Change: one StopHook in eventloop; WorkerLinks names each worker that it forgets. ShardRows.endedTable had no caller. No behaviour of a planned stop changes.

--- a/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
+++ b/daemon/src/main/java/org/lovagerack/daemon/Lovagerackd.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -12,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.core.config.Configurator;
+import org.lovagerack.eventloop.StopHook;
 import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.error.LovagerackException;
 import org.lovagerack.foundation.event.EventLog;
@@ -80,7 +80,13 @@
         .start()
         .onSuccess(
             address -> {
-              stopOnSignal(context, entryVm);
+              StopHook.install(
+                  context,
+                  entryVm::stop,
+                  () -> {
+                    log.write(LogEvent.DAEMON_STOPPED);
+                    LogManager.shutdown();
+                  });
               log.write(
                   LogEvent.DAEMON_STARTED, "callers", address, "peers", settings.peers().address());
               System.out.println("listening on " + address);
@@ -97,24 +103,4 @@
   private static void exit() {
     new Thread(() -> System.exit(0), "exit").start();
   }
-
-  /** The hook blocks the exit of the process until the planned stop is finished. */
-  private void stopOnSignal(Context context, EntryVm entryVm) {
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  CountDownLatch stopped = new CountDownLatch(1);
-                  context.runOnContext(
-                      ignored -> entryVm.stop().onComplete(done -> stopped.countDown()));
-                  try {
-                    stopped.await();
-                  } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                  }
-                  log.write(LogEvent.DAEMON_STOPPED);
-                  LogManager.shutdown();
-                },
-                "planned-stop"));
-  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRows.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRows.java
@@ -59,10 +59,6 @@
     return PROGRESS_TABLE;
   }
 
-  String endedTable() {
-    return ENDED_TABLE;
-  }
-
   String leaseTable() {
     return LEASE_TABLE;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -247,7 +247,7 @@
     }
     parts.contacts().forgetSilent();
     placer.request();
-    links.forgetGone();
+    links.forgetGone(speeds::forget);
     parts.timer().after(SWEEP_PERIOD, this::sweep);
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -83,12 +83,13 @@
     links.values().forEach(WorkerLink::close);
   }
 
-  /** Forgets workers that are gone. */
-  void forgetGone() {
+  /** Forgets workers that are gone, and calls back for each. */
+  void forgetGone(Consumer<WorkerId> forgotten) {
     for (WorkerLink link : all()) {
       if (link.gone()) {
         link.close();
         links.remove(link.id().value());
+        forgotten.accept(link.id());
       }
     }
   }
--- a/node/src/main/java/org/lovagerack/node/NodeMain.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMain.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -16,6 +15,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.apache.logging.log4j.LogManager;
 import org.lovagerack.eventloop.EventLoopTimer;
+import org.lovagerack.eventloop.StopHook;
 import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.error.LovagerackException;
 import org.lovagerack.foundation.event.EventLog;
@@ -119,7 +119,13 @@
     node.start()
         .onSuccess(
             ignored -> {
-              stopOnSignal(context, node);
+              StopHook.install(
+                  context,
+                  node::stop,
+                  () -> {
+                    LOG.write(LogEvent.DAEMON_STOPPED);
+                    LogManager.shutdown();
+                  });
               LOG.write(
                   LogEvent.DAEMON_STARTED,
                   "name",
@@ -145,24 +151,4 @@
       LOG.write(LogEvent.SETTINGS_REJECTED, "reason", e.getMessage());
     }
   }
-
-  /** The hook blocks the exit of the process until the planned stop is finished. */
-  private static void stopOnSignal(Context context, EntryNode node) {
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  CountDownLatch stopped = new CountDownLatch(1);
-                  context.runOnContext(
-                      ignored -> node.stop().onComplete(done -> stopped.countDown()));
-                  try {
-                    stopped.await();
-                  } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                  }
-                  LOG.write(LogEvent.DAEMON_STOPPED);
-                  LogManager.shutdown();
-                },
-                "planned-stop"));
-  }
 }
