Give entry VMs the view of the owner's own shards and of their own failure domain only

Change: the view holds the workers of the owner's shards and the entry VMs of the caller's failure domain, and its version changes with these only. Versions of different processes differ.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/FleetView.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/FleetView.java
@@ -8,8 +8,8 @@
  * What an owner knows of the fleet, for entry VMs that may be cut off from it.
  *
  * @param version changes with the contents
- * @param workers workers that the platform lists
- * @param entries entry VMs in contact with the owner
+ * @param workers workers of the owner's shards
+ * @param entries entry VMs of one failure domain that are in contact with the owner
  */
 public record FleetView(long version, List<WorkerEntry> workers, List<EntryVm> entries) {
 
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -122,17 +122,25 @@
         timer, peers, lease, new IslandSeat(timer, peers, shardParts, rows, self), turns, shard);
   }
 
-  /** Returns what this process knows of the fleet. */
-  public FleetView view() {
+  /**
+   * Returns what an entry VM that may be cut off needs to know of the shards that this process
+   * owns: their workers, and the entry VMs of its failure domain.
+   */
+  public FleetView view(String failureDomain) {
     return new FleetView(
-        viewVersion(),
-        List.copyOf(parts.workers().directory().entries()),
-        parts.contacts().entries());
+        viewVersion(failureDomain),
+        parts.workers().directory().entries().stream()
+            .filter(worker -> !seats.isEmpty() && seats.get(map.ofWorker(worker.id())).owned())
+            .toList(),
+        parts.contacts().entries(failureDomain));
   }
 
-  /** Returns the version of the view. */
-  public long viewVersion() {
-    return parts.workers().directory().version() + parts.contacts().version();
+  /** Returns the version of a failure domain's view; those of different processes differ. */
+  public long viewVersion(String failureDomain) {
+    return self.id().incarnation()
+        + parts.workers().directory().version()
+        + parts.contacts().version(failureDomain)
+        + seats.stream().mapToLong(ShardSeat::ownedToken).sum();
   }
 
   /** Gives all shards up. */
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -132,6 +132,11 @@
     return owned != null;
   }
 
+  /** Returns the fencing token of this process as the owner, or 0. */
+  long ownedToken() {
+    return owned == null ? 0 : owned.token();
+  }
+
   /** Returns the service of the shard if this process serves it, as its owner or on an island. */
   Optional<JobService> ownJobs() {
     return owned != null ? Optional.of(owned.jobs()) : island.ownJobs();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
@@ -26,7 +26,7 @@
   private final LeaseClock clock;
   private final EntryId self;
   private final Map<EntryId, Contact> contacts = new HashMap<>();
-  private long version;
+  private final Map<String, Long> versions = new HashMap<>();
 
   private record Contact(EntryVm vm, LeaseClock.Moment heard) {}
 
@@ -43,18 +43,21 @@
   /** Notes a call from an entry VM. */
   public void heard(EntryVm vm) {
     if (contacts.put(vm.id(), new Contact(vm, clock.now())) == null) {
-      version++;
+      changed(vm);
     }
   }
 
-  /** Returns the entry VMs that have called and were not forgotten. */
-  public List<EntryVm> entries() {
-    return contacts.values().stream().map(Contact::vm).toList();
+  /** Returns the entry VMs of a failure domain that have called and were not forgotten. */
+  public List<EntryVm> entries(String failureDomain) {
+    return contacts.values().stream()
+        .map(Contact::vm)
+        .filter(vm -> vm.failureDomain().equals(failureDomain))
+        .toList();
   }
 
-  /** Returns a number that grows whenever {@link #entries} changes. */
-  public long version() {
-    return version;
+  /** Returns a number that grows whenever {@link #entries} of a failure domain changes. */
+  public long version(String failureDomain) {
+    return versions.getOrDefault(failureDomain, 0L);
   }
 
   /** Returns whether an entry VM was heard from a short time ago. */
@@ -76,8 +79,15 @@
 
   /** Forgets entry VMs that are silent. */
   void forgetSilent() {
-    if (contacts.keySet().removeIf(entry -> !inContact(entry))) {
-      version++;
+    List<EntryVm> silent =
+        contacts.values().stream().map(Contact::vm).filter(vm -> !inContact(vm.id())).toList();
+    for (EntryVm vm : silent) {
+      contacts.remove(vm.id());
+      changed(vm);
     }
   }
+
+  private void changed(EntryVm vm) {
+    versions.merge(vm.failureDomain(), 1L, Long::sum);
+  }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/JobRouterTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobRouterTest.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.support.FakeFleet;
@@ -24,14 +25,17 @@
   private final List<JobRouter> routers = new ArrayList<>();
 
   private JobRouter start(String name, double cores, long seed) {
-    FakeFleet.Vm vm = fleet.vm(name);
+    return start(fleet.vm(name), cores, seed);
+  }
+
+  private JobRouter start(FakeFleet.Vm vm, double cores, long seed) {
     JobRouter router =
         new JobRouter(
             fleet.timer,
             new SplittableRandom(seed),
             new LivingPeers(),
             vm.parts,
-            new EntryVm(vm.id, name, "a"),
+            new EntryVm(vm.id, vm.name, "a"),
             cores,
             fleet.workers.size() / SHARDS);
     routers.add(router);
@@ -85,6 +89,35 @@
     assertThat(routers).allMatch(router -> router.ownedShards() <= 2);
   }
 
+  @Test
+  void viewHoldsTheWorkersOfOwnShardsAndTheEntryVmsOfOneFailureDomain() {
+    FakeFleet.Vm vm = fleet.vm("owner");
+    JobRouter router = start(vm, STRONG, 1);
+    EntryVm near = new EntryVm(new EntryId(71), "near", "a");
+    vm.contacts.heard(near);
+    vm.contacts.heard(new EntryVm(new EntryId(72), "far", "b"));
+    assertThat(router.view("a").workers()).isEmpty();
+    long version = router.viewVersion("a");
+    run(6000);
+    vm.contacts.heard(near);
+
+    assertThat(router.view("a").workers()).hasSize(fleet.workers.size());
+    assertThat(router.view("a").entries()).containsExactly(near);
+    assertThat(router.viewVersion("a")).isNotEqualTo(version);
+  }
+
+  @Test
+  void viewOfOneFailureDomainDoesNotChangeWithTheEntryVmsOfAnother() {
+    FakeFleet.Vm vm = fleet.vm("owner");
+    JobRouter router = start(vm, STRONG, 1);
+    run(6000);
+    long version = router.viewVersion("a");
+    vm.contacts.heard(new EntryVm(new EntryId(72), "far", "b"));
+
+    assertThat(router.viewVersion("a")).isEqualTo(version);
+    assertThat(router.viewVersion("b")).isNotEqualTo(version);
+  }
+
   private long strongOwners() {
     return IntStream.range(0, routers.size())
         .filter(vm -> vm % 2 == 0)
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -65,9 +65,9 @@
     String path = request.path();
     Consumer<JobAnswer> answer = given -> request.response().end(PeerProtocol.encode(given));
     if (path.equals(PeerProtocol.PROCESS_PATH)) {
-      request.response().end(PeerProtocol.encodeVersion(router.viewVersion()));
+      request.response().end(PeerProtocol.encodeVersion(router.viewVersion(failureDomain)));
     } else if (path.equals(PeerProtocol.VIEW_PATH)) {
-      request.response().end(ViewCodec.encode(router.view()));
+      request.response().end(ViewCodec.encode(router.view(failureDomain)));
     } else if (path.startsWith(PeerProtocol.JOBS_PATH)) {
       call(request, entry, path.substring(PeerProtocol.JOBS_PATH.length()), answer);
     } else if (path.startsWith(PeerProtocol.QUEUES_PATH)) {
