--- a/soak/src/main/java/org/lovagerack/soak/Promises.java
+++ b/soak/src/main/java/org/lovagerack/soak/Promises.java
@@ -30,8 +30,10 @@
 
   private static final class TaskHistory {
     private final List<RunAtWork> atWork = new ArrayList<>();
-    private boolean startedAfterDone;
-    private boolean done;
+
+    /** Runs that ended as done, and whether another run was started afterwards. */
+    private final Map<RunAtWork, Boolean> done = new HashMap<>();
+
     private boolean doneAcknowledged;
   }
 
@@ -90,9 +92,10 @@
       @Override
       public void acknowledged(String task, int run) {
         TaskHistory history = tasks.get(task);
-        if (history.done) {
+        Boolean startedAfterwards = history.done.get(new RunAtWork(worker, run));
+        if (startedAfterwards != null) {
           history.doneAcknowledged = true;
-          if (history.startedAfterDone && jobOf(task).isKept()) {
+          if (startedAfterwards && jobOf(task).isKept()) {
             violation.accept(task + " was started after an end that is now acknowledged");
           }
         }
@@ -123,7 +126,7 @@
     if (job.isKept() && task.doneAcknowledged) {
       violation.accept(start.task() + " was started after its acknowledged end");
     }
-    task.startedAfterDone |= task.done;
+    task.done.replaceAll((run, startedAfterwards) -> true);
     if (job.wasRefused()) {
       violation.accept(start.task() + " was started after every attempt was refused");
     }
@@ -156,7 +159,7 @@
     task.atWork.remove(new RunAtWork(worker, run));
     switch (how) {
       case "done" -> {
-        task.done = true;
+        task.done.put(new RunAtWork(worker, run), false);
         jobOf(taskId).addDone(taskId);
       }
       case "failed" -> jobOf(taskId).addFailedRun();
--- a/soak/src/test/java/org/lovagerack/soak/PromisesTest.java
+++ b/soak/src/test/java/org/lovagerack/soak/PromisesTest.java
@@ -64,6 +64,18 @@
     assertThat(broken).singleElement().asString().contains("now acknowledged");
   }
 
+  @Test
+  void endThatVanishedWithItsWorkerAllowsAnotherRun() {
+    JobHistory job = add(true);
+    first.started(start(job, 1));
+    first.ended(TASK, 1, "done");
+    second.started(start(job, 2));
+    second.ended(TASK, 2, "done");
+    second.acknowledged(TASK, 2);
+
+    assertThat(broken).isEmpty();
+  }
+
   @Test
   void workThatNobodySubmittedIsReported() {
     first.started(new WorkerStandIn.Start("other.0.0.0", 1, 1000, "work"));
