Configure the logs of an entry VM without a file

Change: NodeLogging builds appenders, filter and layout itself; the XML file, its parser, the pattern layout and most plugins are not read.

--- a/node/src/main/java/org/lovagerack/node/NodeMain.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMain.java
@@ -31,11 +31,10 @@
   /** Names the settings file if no argument does. */
   private static final String SETTINGS_VARIABLE = "LOVAGERACK_NODE_FILE";
 
-  private static final EventLog LOG = new EventLog(NodeMain.class);
-
   /** What SIGHUP does; nothing until the settings were read for the first time. */
   private static final AtomicReference<Runnable> ON_HANGUP = new AtomicReference<>(() -> {});
 
+  private final EventLog log = new EventLog(NodeMain.class);
   private final Path settingsFile;
   private final NodeSettings settings;
 
@@ -46,7 +45,8 @@
 
   /** Runs the entry VM until it is told to stop. */
   public static void main(String[] arguments) {
-    // Comes first: until then, SIGHUP ends the process.
+    NodeLogging.configure();
+    // Comes before all that takes time: until then, SIGHUP ends the process.
     HangupSignal.handle(() -> ON_HANGUP.get().run());
     ArgumentParser parser =
         ArgumentParsers.newFor("lovagerack-node")
@@ -102,7 +102,7 @@
   private void run() {
     Vertx vertx = vertx();
     Context context = vertx.getOrCreateContext();
-    context.exceptionHandler(cause -> LOG.write(LogEvent.UNEXPECTED_ERROR, cause));
+    context.exceptionHandler(cause -> log.write(LogEvent.UNEXPECTED_ERROR, cause));
     ON_HANGUP.set(this::reload);
     context.runOnContext(ignored -> start(vertx, context));
   }
@@ -123,10 +123,10 @@
                   context,
                   node::stop,
                   () -> {
-                    LOG.write(LogEvent.DAEMON_STOPPED);
+                    log.write(LogEvent.DAEMON_STOPPED);
                     LogManager.shutdown();
                   });
-              LOG.write(
+              log.write(
                   LogEvent.DAEMON_STARTED,
                   "name",
                   settings.name(),
@@ -137,7 +137,7 @@
             })
         .onFailure(
             cause -> {
-              LOG.write(LogEvent.UNEXPECTED_ERROR, cause, "step", "start");
+              log.write(LogEvent.UNEXPECTED_ERROR, cause, "step", "start");
               System.exit(ErrorKind.INTERNAL.exitCode());
             });
   }
@@ -146,9 +146,9 @@
   private void reload() {
     try {
       NodeSettings changed = new NodeSettingsLoader().load(settingsFile);
-      LOG.write(LogEvent.SETTINGS_RELOADED, "changed", !changed.equals(settings));
+      log.write(LogEvent.SETTINGS_RELOADED, "changed", !changed.equals(settings));
     } catch (LovagerackException e) {
-      LOG.write(LogEvent.SETTINGS_REJECTED, "reason", e.getMessage());
+      log.write(LogEvent.SETTINGS_REJECTED, "reason", e.getMessage());
     }
   }
 }
