Give each soak a loopback address of its own

Change: VMs and proxies listen on an address in 127.0.0.0/8 that follows from the soak's process identifier.

--- a/soak/src/main/java/org/lovagerack/soak/FaultyProxy.java
+++ b/soak/src/main/java/org/lovagerack/soak/FaultyProxy.java
@@ -43,11 +43,10 @@
   /** Many times a round trip on loopback, and well below the leases. */
   static final long DELAY_MILLIS = 60;
 
-  private static final String LOOPBACK = "127.0.0.1";
-
   private final Vertx vertx;
   private final TimerService timer;
   private final NetClient client;
+  private final String serverHost;
   private final int serverPort;
   private final Set<Link> links = new LinkedHashSet<>();
   private Mode mode = Mode.PASS;
@@ -55,12 +54,14 @@
   /**
    * Creates a proxy.
    *
-   * @param serverPort loopback port to which connections are forwarded
+   * @param serverHost loopback address to which connections are forwarded
+   * @param serverPort port to which connections are forwarded
    */
-  FaultyProxy(Vertx vertx, TimerService timer, int serverPort) {
+  FaultyProxy(Vertx vertx, TimerService timer, String serverHost, int serverPort) {
     this.vertx = vertx;
     this.timer = timer;
     this.client = vertx.createNetClient();
+    this.serverHost = serverHost;
     this.serverPort = serverPort;
   }
 
@@ -69,7 +70,7 @@
     return vertx
         .createNetServer(new NetServerOptions().setReuseAddress(true))
         .connectHandler(this::connect)
-        .listen(port, LOOPBACK)
+        .listen(port, Loopback.HOST)
         .map(NetServer::actualPort);
   }
 
@@ -92,7 +93,7 @@
     }
     caller.pause();
     client
-        .connect(serverPort, LOOPBACK)
+        .connect(serverPort, serverHost)
         .onSuccess(server -> new Link(caller, server).open())
         .onFailure(cause -> caller.close());
   }
--- a/soak/src/main/java/org/lovagerack/soak/SoakVm.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakVm.java
@@ -9,7 +9,6 @@
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -39,9 +38,9 @@
   private final Consumer<String> violation;
   private final Path settingsFile;
   private final Path log;
-  private final int clientPort = freePort();
-  private final int peerPort = freePort();
-  private final int readinessPort = freePort();
+  private final int clientPort = Loopback.freePort();
+  private final int peerPort = Loopback.freePort();
+  private final int readinessPort = Loopback.freePort();
   private final FaultyProxy peerProxy;
   private final FaultyProxy clientProxy;
   private final FaultyProxy storeProxy;
@@ -79,9 +78,9 @@
     this.violation = violation;
     this.settingsFile = folder.resolve("vm-" + index + ".json");
     this.log = folder.resolve("vm-" + index + ".log");
-    this.peerProxy = new FaultyProxy(vertx, timer, peerPort);
-    this.clientProxy = new FaultyProxy(vertx, timer, clientPort);
-    this.storeProxy = new FaultyProxy(vertx, timer, storePort);
+    this.peerProxy = new FaultyProxy(vertx, timer, Loopback.HOST, peerPort);
+    this.clientProxy = new FaultyProxy(vertx, timer, Loopback.HOST, clientPort);
+    this.storeProxy = new FaultyProxy(vertx, timer, "127.0.0.1", storePort);
     this.peerMode = new Toggle<>(timer, FaultyProxy.Mode.PASS, peerProxy::setMode);
     this.clientMode = new Toggle<>(timer, FaultyProxy.Mode.PASS, clientProxy::setMode);
     this.storeMode = new Toggle<>(timer, FaultyProxy.Mode.PASS, storeProxy::setMode);
@@ -102,12 +101,12 @@
 
   /** Returns the address for clients. */
   String clientAddress() {
-    return address(clientProxyPort);
+    return Loopback.address(clientProxyPort);
   }
 
   /** Returns the address that no proxy disturbs. */
   String directAddress() {
-    return address(clientPort);
+    return Loopback.address(clientPort);
   }
 
   /** Returns whether the process told that it is ready. */
@@ -208,7 +207,7 @@
     int asked = incarnation;
     caller.call(
         HttpMethod.GET,
-        address(readinessPort),
+        Loopback.address(readinessPort),
         "/readiness",
         Map.of(),
         Buffer.buffer(),
@@ -235,12 +234,12 @@
             .createObjectNode()
             .put("name", "vm-" + index)
             .put("failureDomain", "zone-1")
-            .put("clientAddress", address(clientPort))
-            .put("readinessAddress", address(readinessPort))
-            .put("peerAddress", address(peerPort))
-            .put("advertisedPeerAddress", address(peerProxyPort))
-            .put("metricsAddress", address(freePort()))
-            .put("storeAddress", address(storeProxyPort))
+            .put("clientAddress", Loopback.address(clientPort))
+            .put("readinessAddress", Loopback.address(readinessPort))
+            .put("peerAddress", Loopback.address(peerPort))
+            .put("advertisedPeerAddress", Loopback.address(peerProxyPort))
+            .put("metricsAddress", Loopback.address(Loopback.freePort()))
+            .put("storeAddress", Loopback.address(storeProxyPort))
             .put("processorShare", 1)
             .put("workersPerShard", 4)
             .put("longestWorkerLeaseMillis", 1000)
@@ -252,16 +251,4 @@
       throw new UncheckedIOException(e);
     }
   }
-
-  private static String address(int port) {
-    return "127.0.0.1:" + port;
-  }
-
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
 }
--- a/soak/src/main/java/org/lovagerack/soak/SoakWorker.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakWorker.java
@@ -42,7 +42,7 @@
         .listen()
         .compose(
             port -> {
-              FaultyProxy proxy = new FaultyProxy(vertx, timer, port);
+              FaultyProxy proxy = new FaultyProxy(vertx, timer, "127.0.0.1", port);
               mode = new Toggle<>(timer, FaultyProxy.Mode.PASS, proxy::setMode);
               return proxy.listen(0);
             })
@@ -80,6 +80,9 @@
 
   private void register(String state) {
     store.put(
-        "servers", "", "worker-" + index, PlatformEntries.worker(proxyPort, state, worker.born()));
+        "servers",
+        "",
+        "worker-" + index,
+        PlatformEntries.worker(Loopback.address(proxyPort), state, worker.born()));
   }
 }
--- a/soak/src/test/java/org/lovagerack/soak/FaultyProxyTest.java
+++ b/soak/src/test/java/org/lovagerack/soak/FaultyProxyTest.java
@@ -54,7 +54,7 @@
   }
 
   private Future<Integer> openProxy(int serverPort) {
-    proxy = new FaultyProxy(vertx, new EventLoopTimer(vertx, context), serverPort);
+    proxy = new FaultyProxy(vertx, new EventLoopTimer(vertx, context), "127.0.0.1", serverPort);
     return proxy.listen(0);
   }
 
@@ -113,7 +113,7 @@
         ignored ->
             caller.call(
                 HttpMethod.GET,
-                "127.0.0.1:" + port,
+                Loopback.address(port),
                 path,
                 Map.of(),
                 Buffer.buffer(),
