Repeat a stop that a worker fenced

Change: a fenced stop is repeated like one without an answer, under the token that is then in force. Before: WorkerLinkTest failed (one stop, under the old token). After: it passes.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -320,10 +320,11 @@
             clock.read(done.clockMillis());
             active.confirmStop(timer.nanoTime());
             requestReport();
-          } else if (outcome instanceof OrderOutcome.Rejected rejected
-              && rejected.reason() == OrderOutcome.Reason.FENCED) {
-            listener.fenced(this, usedToken);
           } else {
+            if (outcome instanceof OrderOutcome.Rejected rejected
+                && rejected.reason() == OrderOutcome.Reason.FENCED) {
+              listener.fenced(this, usedToken);
+            }
             timer.after(
                 RETRY_PAUSE,
                 () -> {
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/IslandSeatTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/IslandSeatTest.java
@@ -139,6 +139,26 @@
     assertThat(fleet.observer.problems()).isEmpty();
   }
 
+  @Test
+  void unansweredStartIsExcludedAlsoIfAnIslandHasFencedItsWorker() {
+    OwnedVm owner = fleet.vm("owner").takeShard().orElseThrow();
+    run(50);
+    FakeWorker late = fleet.workers.getFirst();
+    fleet.network.setPath("owner", late, FakeNetwork.Path.LATE);
+    owner.submit(FakeFleet.job("kept", 12, 200, false));
+    run(50);
+    learn(self);
+    assertThat(island.cutOff(owner.shard().token())).isTrue();
+    run(50);
+    fleet.network.setPath("owner", late, FakeNetwork.Path.OPEN);
+    run(300);
+    island.reconnected();
+    run(8000);
+
+    assertThat(owner.state("kept")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
   @Test
   void jobThatTheIslandDoesNotKnowMayBeStored() {
     OwnedVm owner = fleet.vm("owner").takeShard().orElseThrow();
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerLinkTest.java
@@ -0,0 +1,120 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.job.TaskId;
+import org.lovagerack.fleet.job.TaskRun;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.worker.LeaseOrder;
+import org.lovagerack.fleet.worker.OrderOutcome;
+import org.lovagerack.fleet.worker.ReportOutcome;
+import org.lovagerack.fleet.worker.RunEnd;
+import org.lovagerack.fleet.worker.StartOrder;
+import org.lovagerack.fleet.worker.WorkerCalls;
+import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerReport;
+
+/** Guards what an owner does about orders whose answers it does not get. */
+final class WorkerLinkTest {
+
+  private static final TaskRun RUN = new TaskRun(new TaskId("job-1", 0, 0), 1);
+
+  private final FakeFleet fleet = new FakeFleet(1, Duration.ofMillis(50));
+  private final List<Long> stopTokens = new ArrayList<>();
+  private final List<TaskRun> lost = new ArrayList<>();
+  private long token = 1000;
+
+  /** An island may order the worker between the start and the stop. */
+  @Test
+  void stopThatWasFencedIsRepeatedUnderTheRaisedToken() {
+    WorkerLink link =
+        new WorkerLink(
+            fleet.timer,
+            new FencedOnce(),
+            new FleetBounds(Duration.ofSeconds(1), Duration.ofSeconds(120)),
+            () -> token,
+            fleet.workers.getFirst().entry(),
+            new ActiveTasks(),
+            new Recorder());
+    link.open();
+    fleet.timer.advance(Duration.ofMillis(50));
+    link.start(RUN, "work", Resources.NONE);
+    fleet.timer.advance(Duration.ofMillis(500));
+
+    assertThat(stopTokens).containsExactly(1000L, 2000L);
+    assertThat(lost).containsExactly(RUN);
+    assertThat(link.runs()).isEmpty();
+  }
+
+  /** Answers no start, rejects the first stop, and lists no run. */
+  private final class FencedOnce implements WorkerCalls {
+    @Override
+    public void start(
+        WorkerEntry worker, StartOrder order, Duration timeout, Consumer<OrderOutcome> callback) {
+      fleet.timer.after(timeout, () -> callback.accept(new OrderOutcome.Unknown("no answer")));
+    }
+
+    @Override
+    public void stop(
+        WorkerEntry worker,
+        TaskRun run,
+        long fencingToken,
+        Duration timeout,
+        Consumer<OrderOutcome> callback) {
+      stopTokens.add(fencingToken);
+      OrderOutcome outcome =
+          fencingToken == 1000
+              ? new OrderOutcome.Rejected(OrderOutcome.Reason.FENCED, "fake")
+              : new OrderOutcome.Done(1);
+      fleet.timer.after(Duration.ofMillis(1), () -> callback.accept(outcome));
+    }
+
+    @Override
+    public void report(
+        WorkerEntry worker, LeaseOrder order, Duration timeout, Consumer<ReportOutcome> callback) {
+      WorkerReport report = new WorkerReport(1, worker.incarnation(), List.of(), List.of());
+      fleet.timer.after(
+          Duration.ofMillis(20), () -> callback.accept(new ReportOutcome.Reported(report)));
+    }
+  }
+
+  private final class Recorder implements WorkerLink.Listener {
+    @Override
+    public void joined(WorkerLink link) {}
+
+    @Override
+    public WorkerLink.Found found(WorkerLink link, TaskRun run) {
+      throw new IllegalStateException("the worker lists no run");
+    }
+
+    @Override
+    public void ended(WorkerLink link, RunEnd end, EndReceipt receipt, Duration ranFor) {}
+
+    @Override
+    public void lost(WorkerLink link, TaskRun run, String reason) {
+      lost.add(run);
+    }
+
+    @Override
+    public void started(WorkerLink link, TaskRun run) {}
+
+    @Override
+    public void fenced(WorkerLink link, long usedToken) {
+      token = 2000;
+    }
+
+    @Override
+    public void roomGained(WorkerLink link) {}
+
+    @Override
+    public boolean mayExtend(WorkerLink link) {
+      return true;
+    }
+  }
+}
