Send the calls of the command line from the event loop

The caller's thread sent the request and then subscribed to the response and its body; if it is suspended between the two, the body passes before anything waits for it. Change: the request is sent, and the response subscribed to, on the event loop. If it is seen again, this cause is wrong.

--- a/operator/src/main/java/org/lovagerack/operator/HttpSender.java
+++ b/operator/src/main/java/org/lovagerack/operator/HttpSender.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Sends calls to entry VMs, one at a time, and waits for each answer. */
 final class HttpSender implements AutoCloseable {
@@ -50,15 +51,24 @@
 
   /** Sends a call to one entry VM. */
   EntryAttempt send(EntryAddress address, EntryCall call) {
-    HttpClientRequest request;
+    AtomicReference<HttpClientRequest> opened = new AtomicReference<>();
+    // Sent from the event loop: on another thread, parts of a fast response could pass before
+    // anything waits for them.
+    Future<EntryAttempt> attempt =
+        client
+            .request(options(address, call))
+            .compose(
+                request -> {
+                  opened.set(request);
+                  return answer(request, call).timeout(limitMillis(call), TimeUnit.MILLISECONDS);
+                });
     try {
-      request = await(client.request(options(address, call)));
-    } catch (CompletionException e) {
-      return new EntryAttempt.NotSent(reason(e));
-    }
-    try {
-      return await(answer(request, call).timeout(limitMillis(call), TimeUnit.MILLISECONDS));
+      return await(attempt);
     } catch (CompletionException e) {
+      HttpClientRequest request = opened.get();
+      if (request == null) {
+        return new EntryAttempt.NotSent(reason(e));
+      }
       request.reset();
       return new EntryAttempt.Lost(reason(e));
     }
