Subscribe to bodies on the event loop in the blocking client of the tests too

Cause: BlockingHttp, the twin of the command line's HttpSender, attached the handler of the body on the caller's thread, after the response may have passed; a call could then wait for its whole timeout. Change: the response's body is asked for in the callback that gets the response.

--- a/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -59,10 +60,7 @@
     Future<Reply> reply =
         client
             .request(options)
-            .compose(request -> request.send(Buffer.buffer(body)))
-            .compose(
-                response ->
-                    response.body().map(data -> new Reply(response.statusCode(), data.toString())));
+            .compose(request -> request.send(Buffer.buffer(body)).compose(BlockingHttp::reply));
     try {
       return reply.toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     } catch (ExecutionException | TimeoutException e) {
@@ -70,6 +68,11 @@
     }
   }
 
+  /** Runs on the event loop, before the body can arrive. */
+  private static Future<Reply> reply(HttpClientResponse response) {
+    return response.body().map(data -> new Reply(response.statusCode(), data.toString()));
+  }
+
   public Reply get(String address, String path) throws IOException, InterruptedException {
     return call(HttpMethod.GET, address, path, Map.of(), "");
   }
