Read single rows and follow pages through one piece of code

Change: RowStore.readRow replaces four reads of one row by its key (lease, layout, stored jobs, ended jobs), and ReadOutcome.Rows.nextFrom the two copies of the key of a next page. No behaviour changes; the tests of the module pass.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardLayout.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardLayout.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.lovagerack.fleet.store.CommitOutcome;
-import org.lovagerack.fleet.store.ReadOutcome;
 import org.lovagerack.fleet.store.RowCondition;
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.RowStore;
@@ -76,23 +75,13 @@
   }
 
   private void read(Consumer<Optional<Integer>> callback) {
-    store.read(
-        ROW.table(),
-        ROW.partition(),
-        ROW.key(),
-        1,
+    store.readRow(
+        ROW,
         TIMEOUT,
+        stored -> callback.accept(stored.flatMap(ShardLayout::decode)),
         outcome -> {
-          if (outcome instanceof ReadOutcome.Rows page) {
-            callback.accept(
-                page.rows().stream()
-                    .filter(row -> row.key().equals(ROW))
-                    .findFirst()
-                    .flatMap(ShardLayout::decode));
-          } else {
-            LOG.write(LogEvent.PLATFORM_UNAVAILABLE, "row", ROW, "outcome", outcome);
-            timer.after(PERIOD, () -> read(callback));
-          }
+          LOG.write(LogEvent.PLATFORM_UNAVAILABLE, "row", ROW, "outcome", outcome);
+          timer.after(PERIOD, () -> read(callback));
         });
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/StoredJobs.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/StoredJobs.java
@@ -8,7 +8,6 @@
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.shard.ShardRows;
-import org.lovagerack.fleet.store.ReadOutcome;
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.RowStore;
 import org.lovagerack.fleet.store.StoredRow;
@@ -45,22 +44,11 @@
 
   private void read(
       RowKey key, Consumer<JobAnswer> callback, Consumer<StoredRow> found, Runnable absent) {
-    store.read(
-        key.table(),
-        key.partition(),
-        key.key(),
-        1,
+    store.readRow(
+        key,
         TIMEOUT,
-        outcome -> {
-          if (!(outcome instanceof ReadOutcome.Rows page)) {
-            callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE));
-            return;
-          }
-          page.rows().stream()
-              .filter(row -> row.key().equals(key))
-              .findFirst()
-              .ifPresentOrElse(found, absent);
-        });
+        row -> row.ifPresentOrElse(found, absent),
+        outcome -> callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE)));
   }
 
   private static JobAnswer ended(StoredRow row) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.store.CommitOutcome;
-import org.lovagerack.fleet.store.ReadOutcome;
 import org.lovagerack.fleet.store.RowCondition;
 import org.lovagerack.fleet.store.RowStore;
 import org.lovagerack.fleet.store.RowTransaction;
@@ -144,20 +143,13 @@
   }
 
   private void read(Consumer<Optional<StoredRow>> next, Consumer<Result> callback) {
-    store.read(
-        rows.leaseTable(),
-        rows.partition(),
-        rows.lease().key(),
-        1,
+    store.readRow(
+        rows.lease(),
         timeout,
+        next,
         outcome -> {
-          if (outcome instanceof ReadOutcome.Rows page) {
-            next.accept(
-                page.rows().stream().filter(row -> row.key().equals(rows.lease())).findFirst());
-          } else {
-            lengthenTimeout();
-            callback.accept(new StoreUnreachable("the lease cannot be read: " + outcome));
-          }
+          lengthenTimeout();
+          callback.accept(new StoreUnreachable("the lease cannot be read: " + outcome));
         });
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
@@ -77,7 +77,7 @@
           if (outcome instanceof ReadOutcome.Rows page) {
             found.addAll(page.rows());
             if (page.more()) {
-              readAll(table, page.rows().getLast().key().key() + '\0', found, next);
+              readAll(table, page.nextFrom(), found, next);
             } else {
               next.run();
             }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRows.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRows.java
@@ -58,8 +58,4 @@
   String progressTable() {
     return PROGRESS_TABLE;
   }
-
-  String leaseTable() {
-    return LEASE_TABLE;
-  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -13,9 +13,7 @@
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.job.SubmittedJob;
-import org.lovagerack.fleet.store.ReadOutcome;
 import org.lovagerack.fleet.store.RowCondition;
-import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.RowWrite;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.worker.WorkerDirectory;
@@ -394,29 +392,24 @@
   }
 
   private void readEnded(String jobId, Consumer<JobAnswer> callback) {
-    RowKey key = rows.ended(jobId);
     parts
         .store()
-        .read(
-            key.table(),
-            key.partition(),
-            jobId,
-            1,
+        .readRow(
+            rows.ended(jobId),
             READ_TIMEOUT,
-            outcome -> {
-              if (!(outcome instanceof ReadOutcome.Rows page) || closed) {
+            stored -> {
+              if (closed) {
                 callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE));
                 return;
               }
-              page.rows().stream()
-                  .filter(row -> row.key().equals(key))
-                  .forEach(row -> remember(jobId, row));
+              stored.ifPresent(row -> remember(jobId, row));
               callback.accept(
                   ended
                       .state(jobId)
                       .<JobAnswer>map(JobAnswer.State::new)
                       .orElse(new JobAnswer.UnknownJob()));
-            });
+            },
+            outcome -> callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE)));
   }
 
   private void remember(String jobId, StoredRow row) {
--- a/fleet/src/main/java/org/lovagerack/fleet/store/RowStore.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/store/RowStore.java
@@ -1,6 +1,7 @@
 package org.lovagerack.fleet.store;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** The store. Every callback runs once, on the caller's event loop. */
@@ -26,6 +27,32 @@
       Duration timeout,
       Consumer<ReadOutcome> callback);
 
+  /**
+   * Reads one row.
+   *
+   * @param found receives the row; empty if there is none
+   * @param failed receives what came instead of an answer
+   */
+  default void readRow(
+      RowKey key,
+      Duration timeout,
+      Consumer<Optional<StoredRow>> found,
+      Consumer<ReadOutcome> failed) {
+    read(
+        key.table(),
+        key.partition(),
+        key.key(),
+        1,
+        timeout,
+        outcome -> {
+          if (outcome instanceof ReadOutcome.Rows page) {
+            found.accept(page.rows().stream().filter(row -> row.key().equals(key)).findFirst());
+          } else {
+            failed.accept(outcome);
+          }
+        });
+  }
+
   /**
    * Waits for changes of a table.
    *
--- a/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
@@ -115,7 +115,7 @@
             case ReadOutcome.Rows rows -> {
               loading.add(rows);
               if (rows.more()) {
-                loadPage(partition, keyAfter(rows.rows().getLast().key().key()), loading);
+                loadPage(partition, rows.nextFrom(), loading);
               } else {
                 loadPage(partition + 1, "", loading);
               }
@@ -219,11 +219,6 @@
         retry.multipliedBy(2).compareTo(LONGEST_RETRY) < 0 ? retry.multipliedBy(2) : LONGEST_RETRY;
   }
 
-  /** Returns the smallest key that is greater than {@code key}. */
-  private static String keyAfter(String key) {
-    return key + '\0';
-  }
-
   private static final class Loading {
     private final List<StoredRow> rows = new ArrayList<>();
     private long oldestVersion = Long.MAX_VALUE;
