Move acceptance and refusal of jobs out of ShardTenure

Decoding the stored end of a job moves to EndedJobs. No behaviour changes; the tests of the module pass.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EndedJobs.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EndedJobs.java
@@ -7,7 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lovagerack.fleet.job.EndedJob;
+import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
 
 /** Ended jobs that this owner remembers, so that late duplicates and questions find their end. */
 final class EndedJobs {
@@ -17,6 +22,8 @@
    */
   private static final Duration UNSTORED_RETENTION = Duration.ofSeconds(15);
 
+  private static final EventLog LOG = new EventLog(EndedJobs.class);
+
   private final Duration storedRetention;
   private final Map<String, EndedJob> stored = new HashMap<>();
   private final Map<String, EndedJob> unstored = new HashMap<>();
@@ -34,6 +41,15 @@
     stored.put(jobId, end);
   }
 
+  /** Takes the stored row of an end; one that cannot be read is passed over. */
+  void putStored(String jobId, StoredRow row) {
+    try {
+      putStored(jobId, JobCodec.decodeEnded(row.value()));
+    } catch (MalformedRecordException e) {
+      LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
+    }
+  }
+
   void putUnstored(String jobId, EndedJob end) {
     unstored.put(jobId, end);
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -7,15 +7,9 @@
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
-import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.JobState;
-import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
-import org.lovagerack.fleet.job.SubmittedJob;
-import org.lovagerack.fleet.store.RowCondition;
-import org.lovagerack.fleet.store.RowWrite;
-import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.foundation.error.ErrorKind;
@@ -36,12 +30,6 @@
   /** Entry VMs submit jobs again within about a tenth of a second of learning the new owner. */
   private static final Duration ORPHAN_GRACE = Duration.ofMillis(300);
 
-  /**
-   * Time after which an owner that lost contact with an entry VM has ended that VM's jobs: the
-   * silence, a sweep, and the stops.
-   */
-  private static final Duration REPEAT_DELAY = EntryContacts.SILENCE.plusMillis(400);
-
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration GATE_RETRY = Duration.ofMillis(100);
 
@@ -49,7 +37,7 @@
   private static final Duration SWEEP_PERIOD = EntryContacts.SILENCE.dividedBy(4);
 
   /** What a caller is told while the store or the workers are away; outages last seconds. */
-  private static final Duration RETRY_AFTER_OUTAGE = Duration.ofSeconds(1);
+  static final Duration RETRY_AFTER_OUTAGE = Duration.ofSeconds(1);
 
   private static final EventLog LOG = new EventLog(ShardTenure.class);
 
@@ -64,6 +52,7 @@
   private final Placer placer;
   private final RunTracker runs;
   private final WorkerLinks links;
+  private final JobIntake intake;
   private boolean recovered;
   private boolean closed;
 
@@ -104,6 +93,8 @@
             runs,
             placer::request);
     placer.use(links);
+    this.intake =
+        new JobIntake(parts, rows, log, book, ended, runs, links, speeds, placer, () -> recovered);
   }
 
   /**
@@ -225,7 +216,7 @@
   private boolean fateUnknown(Job job) {
     return job.repeated()
         && !(log.wholeShard() && links.allCertain())
-        && parts.timer().nanoTime() - job.acceptedNanos() < REPEAT_DELAY.toNanos();
+        && parts.timer().nanoTime() - job.acceptedNanos() < JobIntake.REPEAT_DELAY.toNanos();
   }
 
   /** Ends jobs of best effort whose clients cannot be answered any more. */
@@ -251,112 +242,7 @@
 
   @Override
   public void submit(Submission submission, Consumer<JobAnswer> callback) {
-    Job.Waiter waiter = new Job.Waiter(Optional.of(submission.entry()), callback);
-    boolean bestEffort = submission.spec().bestEffort();
-    Optional<Job> known = book.find(submission.jobId());
-    if (known.isPresent()) {
-      if (known.get().phase() == Job.Phase.STORING || bestEffort) {
-        known.get().waiting().add(waiter);
-      } else {
-        callback.accept(new JobAnswer.Accepted());
-      }
-      return;
-    }
-    Optional<JobState> end = ended.state(submission.jobId());
-    if (end.isPresent()) {
-      callback.accept(bestEffort ? new JobAnswer.State(end.get()) : new JobAnswer.Accepted());
-      return;
-    }
-    Job job =
-        new Job(
-            new SubmittedJob(
-                submission.jobId(), submission.queue(), log.token(), submission.spec()),
-            parts.timer().nanoTime(),
-            log.token(),
-            false,
-            submission.repeated());
-    Optional<JobAnswer.Refused> refusal = refusal(job);
-    if (refusal.isPresent()) {
-      refuse(job, refusal.get(), "waiting work " + book.queue().waitingWork());
-      callback.accept(refusal.get());
-      return;
-    }
-    job.waiting().add(waiter);
-    book.add(job);
-    if (bestEffort) {
-      runs.claimOrphans(job);
-      accept(job);
-      runs.endIfDone(job);
-    } else {
-      store(job);
-    }
-  }
-
-  private void store(Job job) {
-    log.append(
-        new CommitEntry(
-            List.of(new RowCondition(rows.ended(job.id()), RowCondition.ABSENT)),
-            List.of(new RowWrite(rows.job(job.id()), JobCodec.encode(job.submitted()))),
-            List.of(),
-            true,
-            new StoredListener(job)));
-  }
-
-  private void accept(Job job) {
-    job.phase(Job.Phase.ACTIVE);
-    parts.counters().accepted();
-    LOG.write(
-        LogEvent.JOB_ACCEPTED,
-        "job",
-        job.id(),
-        "queue",
-        job.queue().name(),
-        "token",
-        log.token(),
-        "tasks",
-        job.tasks().size(),
-        "after",
-        Duration.ofNanos(parts.timer().nanoTime() - job.acceptedNanos()));
-    book.queue().add(job);
-    placer.request();
-    if (job.repeated()) {
-      parts.timer().after(REPEAT_DELAY, placer::request);
-    }
-  }
-
-  private void refuse(Job job, JobAnswer.Refused refusal, String reason) {
-    parts.counters().refused(refusal.kind());
-    LOG.write(
-        LogEvent.JOB_REFUSED,
-        "job",
-        job.id(),
-        "queue",
-        job.queue().name(),
-        "kind",
-        refusal.kind(),
-        "retryAfter",
-        refusal.retryAfter(),
-        "reason",
-        reason);
-  }
-
-  private Optional<JobAnswer.Refused> refusal(Job job) {
-    if (!recovered) {
-      return Optional.of(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER_OUTAGE));
-    }
-    if (!job.bestEffort() && !(log.storeAvailable() && log.leaseValid())) {
-      return Optional.of(new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, RETRY_AFTER_OUTAGE));
-    }
-    double ownWork = job.tasks().stream().mapToDouble(TaskQueue::work).sum();
-    double capacity = links.capacity(job.queue().service(), speeds);
-    double spread = capacity <= 0 ? 0 : ownWork / capacity;
-    Duration ownDuration =
-        Duration.ofNanos((long) Math.max((double) job.estimatedChain().toNanos(), spread * 1e9));
-    return Admission.decide(book.queue().waitingWork(), capacity, ownDuration, job.objective())
-        .map(
-            retryAfter ->
-                new JobAnswer.Refused(
-                    capacity <= 0 ? ErrorKind.NO_UPSTREAM : ErrorKind.OVERLOADED, retryAfter));
+    intake.submit(submission, callback);
   }
 
   @Override
@@ -402,7 +288,7 @@
                 callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE));
                 return;
               }
-              stored.ifPresent(row -> remember(jobId, row));
+              stored.ifPresent(row -> ended.putStored(jobId, row));
               callback.accept(
                   ended
                       .state(jobId)
@@ -412,14 +298,6 @@
             outcome -> callback.accept(new JobAnswer.Unresolved(ErrorKind.PLATFORM_UNAVAILABLE)));
   }
 
-  private void remember(String jobId, StoredRow row) {
-    try {
-      ended.putStored(jobId, JobCodec.decodeEnded(row.value()));
-    } catch (MalformedRecordException e) {
-      LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
-    }
-  }
-
   @Override
   public void cancel(String jobId, Consumer<JobAnswer> callback) {
     Optional<Job> found = book.find(jobId);
@@ -452,34 +330,4 @@
             ? new JobAnswer.Pending(book.pending(queueName))
             : new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER_OUTAGE));
   }
-
-  private final class StoredListener implements CommitEntry.Listener {
-    private final Job job;
-
-    StoredListener(Job job) {
-      this.job = job;
-    }
-
-    @Override
-    public void committed() {
-      accept(job);
-      JobEnds.answer(job, new JobAnswer.Accepted());
-    }
-
-    @Override
-    public void conflicted(StoredRow row) {
-      book.remove(job);
-      remember(job.id(), row);
-      JobEnds.answer(job, new JobAnswer.Accepted());
-    }
-
-    @Override
-    public void dropped(String reason) {
-      book.remove(job);
-      JobAnswer.Refused refusal =
-          new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, RETRY_AFTER_OUTAGE);
-      refuse(job, refusal, reason);
-      JobEnds.answer(job, refusal);
-    }
-  }
 }
