Keep one copy of answers, bounds and sums that several classes had

Change: Objective.useful for the three copies of the figure; PendingSum for the sums of JobRouter and PeerServer; NO_OWNER and NOT_THE_OWNER for the refusals without an owner; one check in EntryContacts and in ShardSeat for two each; JobRouter asks for the seat once instead of checking for seats in seven places.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/IslandSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/IslandSeat.java
@@ -169,7 +169,7 @@
     List<EntryVm> candidates = new ArrayList<>();
     candidates.add(self);
     for (EntryVm vm : view.entries()) {
-      if (vm.failureDomain().equals(self.failureDomain()) && !vm.equals(self)) {
+      if (!vm.equals(self)) {
         candidates.add(vm);
       }
     }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -20,15 +20,11 @@
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.store.TableFollower;
-import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.timer.TimerService;
 
 /** Passes each call to the owner of the job's shard, which may be this process. */
 public final class JobRouter implements JobService {
 
-  /** Takeovers last about this long. */
-  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-
   /** Longest wait of one call that follows the owners; bounds how long a silent one is trusted. */
   private static final Duration FOLLOW_WAIT = Duration.ofSeconds(2);
 
@@ -174,34 +170,32 @@
 
   /** Returns the service of a job's shard if this process serves it. */
   public Optional<JobService> ownJobs(String jobId) {
-    return seats.isEmpty() ? Optional.empty() : seat(jobId).ownJobs();
+    return seat(jobId).flatMap(ShardSeat::ownJobs);
   }
 
-  /** Returns the services of the shards that this process serves. */
-  public List<JobService> ownShards() {
-    return seats.stream().flatMap(seat -> seat.ownJobs().stream()).toList();
+  /** Counts the pending jobs of a queue in the shards that this process serves. */
+  public void ownPending(String queueName, Consumer<JobAnswer> callback) {
+    PendingSum.ask(
+        seats.stream().flatMap(seat -> seat.ownJobs().stream()).toList(), queueName, callback);
   }
 
   @Override
   public void submit(Submission submission, Consumer<JobAnswer> callback) {
-    if (seats.isEmpty()) {
-      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
-      return;
-    }
-    new SubmissionRelay(timer, seat(submission.jobId()), submission, callback).start();
+    seat(submission.jobId())
+        .ifPresentOrElse(
+            seat -> new SubmissionRelay(timer, seat, submission, callback).start(),
+            () -> callback.accept(OwnerFailures.NO_OWNER));
   }
 
   @Override
   public void abandon(Submission submission) {
-    if (!seats.isEmpty()) {
-      seat(submission.jobId()).jobs().ifPresent(jobs -> jobs.abandon(submission));
-    }
+    seat(submission.jobId()).flatMap(ShardSeat::jobs).ifPresent(jobs -> jobs.abandon(submission));
   }
 
   @Override
   public void state(String jobId, Consumer<JobAnswer> callback) {
     if (seats.isEmpty()) {
-      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      callback.accept(OwnerFailures.NO_OWNER);
       return;
     }
     pass(
@@ -210,9 +204,9 @@
         answer -> {
           switch (answer) {
             case JobAnswer.Refused refused ->
-                storedJobs.state(ShardRows.of(shard(jobId)), jobId, callback);
+                storedJobs.state(ShardRows.of(map.ofJob(jobId)), jobId, callback);
             case JobAnswer.Unresolved unresolved ->
-                storedJobs.state(ShardRows.of(shard(jobId)), jobId, callback);
+                storedJobs.state(ShardRows.of(map.ofJob(jobId)), jobId, callback);
             default -> callback.accept(answer);
           }
         });
@@ -225,18 +219,11 @@
 
   @Override
   public void pending(String queueName, Consumer<JobAnswer> callback) {
-    if (seats.isEmpty()) {
-      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
-      return;
-    }
-    PendingSum sum = new PendingSum(seats.size(), callback);
-    for (ShardSeat seat : seats) {
-      Optional<JobService> jobs = seat.jobs();
-      if (jobs.isPresent()) {
-        jobs.get().pending(queueName, sum::add);
-      } else {
-        sum.add(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
-      }
+    List<JobService> owners = seats.stream().flatMap(seat -> seat.jobs().stream()).toList();
+    if (seats.isEmpty() || owners.size() < seats.size()) {
+      callback.accept(OwnerFailures.NO_OWNER);
+    } else {
+      PendingSum.ask(owners, queueName, callback);
     }
   }
 
@@ -244,32 +231,25 @@
       String jobId,
       BiConsumer<JobService, Consumer<JobAnswer>> call,
       Consumer<JobAnswer> callback) {
-    if (seats.isEmpty()) {
-      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
-      return;
-    }
-    ShardSeat seat = seat(jobId);
-    Optional<JobService> jobs = seat.jobs();
+    Optional<ShardSeat> seat = seat(jobId);
+    Optional<JobService> jobs = seat.flatMap(ShardSeat::jobs);
     if (jobs.isEmpty()) {
-      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      callback.accept(OwnerFailures.NO_OWNER);
       return;
     }
     call.accept(
         jobs.get(),
         answer -> {
           if (OwnerFailures.isOne(answer)) {
-            seat.suspectOwner();
+            seat.get().suspectOwner();
           }
           callback.accept(answer);
         });
   }
 
-  private ShardSeat seat(String jobId) {
-    return seats.get(shard(jobId));
-  }
-
-  private int shard(String jobId) {
-    return map.ofJob(jobId);
+  /** Returns the seat of a job's shard; empty until the number of shards is known. */
+  private Optional<ShardSeat> seat(String jobId) {
+    return seats.isEmpty() ? Optional.empty() : Optional.of(seats.get(map.ofJob(jobId)));
   }
 
   private final class OwnerListener implements TableFollower.Listener {
@@ -293,31 +273,4 @@
       startOrder.forEach(ShardSeat::ownersLoaded);
     }
   }
-
-  private static final class PendingSum {
-    private final Consumer<JobAnswer> callback;
-    private int outstanding;
-    private long sum;
-
-    PendingSum(int outstanding, Consumer<JobAnswer> callback) {
-      this.outstanding = outstanding;
-      this.callback = callback;
-    }
-
-    void add(JobAnswer answer) {
-      if (outstanding == 0) {
-        return;
-      }
-      if (answer instanceof JobAnswer.Pending pending) {
-        sum += pending.jobs();
-        outstanding--;
-        if (outstanding == 0) {
-          callback.accept(new JobAnswer.Pending(sum));
-        }
-      } else {
-        outstanding = 0;
-        callback.accept(answer);
-      }
-    }
-  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/OwnerFailures.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/OwnerFailures.java
@@ -1,11 +1,16 @@
 package org.lovagerack.fleet.entry;
 
+import java.time.Duration;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.foundation.error.ErrorKind;
 
 /** Tells answers of an owner from the lack of one. */
 final class OwnerFailures {
 
+  /** Answer while a shard has no owner that is known; takeovers last about a second. */
+  static final JobAnswer NO_OWNER =
+      new JobAnswer.Refused(ErrorKind.NOT_READY, Duration.ofSeconds(1));
+
   private OwnerFailures() {}
 
   /** Returns whether an answer means that the owner was not reached, or is the owner no more. */
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/PendingSum.java
@@ -0,0 +1,45 @@
+package org.lovagerack.fleet.entry;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobService;
+
+/** Adds up the pending jobs of a queue over several services; the first failure is the answer. */
+final class PendingSum {
+
+  private final Consumer<JobAnswer> callback;
+  private int outstanding;
+  private long sum;
+
+  private PendingSum(int outstanding, Consumer<JobAnswer> callback) {
+    this.outstanding = outstanding;
+    this.callback = callback;
+  }
+
+  /** Asks every service, and calls back once. */
+  static void ask(List<JobService> services, String queueName, Consumer<JobAnswer> callback) {
+    if (services.isEmpty()) {
+      callback.accept(new JobAnswer.Pending(0));
+      return;
+    }
+    PendingSum total = new PendingSum(services.size(), callback);
+    services.forEach(service -> service.pending(queueName, total::add));
+  }
+
+  private void add(JobAnswer answer) {
+    if (outstanding == 0) {
+      return;
+    }
+    if (answer instanceof JobAnswer.Pending pending) {
+      sum += pending.jobs();
+      outstanding--;
+      if (outstanding == 0) {
+        callback.accept(new JobAnswer.Pending(sum));
+      }
+    } else {
+      outstanding = 0;
+      callback.accept(answer);
+    }
+  }
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagerack.fleet.job.JobService;
@@ -243,10 +244,10 @@
     timer.after(
         turns.delay(),
         () -> {
-          if (retired || owned != null || !silent.equals(owner)) {
-            taking = false;
-          } else {
+          if (wanted(silent)) {
             lease.takeIfUnrenewed(this::takeEnded);
+          } else {
+            taking = false;
           }
         });
   }
@@ -256,23 +257,28 @@
       return;
     }
     taking = true;
-    Optional<LeaseRecord> believed = Optional.ofNullable(owner);
+    LeaseRecord believed = owner;
     turns.add(
         ended -> {
-          if (retired || owned != null || !believed.equals(Optional.ofNullable(owner))) {
-            taking = false;
-            ended.run();
-          } else {
+          if (wanted(believed)) {
             lease.take(
-                believed,
+                Optional.ofNullable(believed),
                 result -> {
                   takeEnded(result);
                   ended.run();
                 });
+          } else {
+            taking = false;
+            ended.run();
           }
         });
   }
 
+  /** Returns whether the shard is still to be taken from the owner that was believed to be gone. */
+  private boolean wanted(LeaseRecord from) {
+    return !retired && owned == null && Objects.equals(from, owner);
+  }
+
   private void takeEnded(ShardLease.Result result) {
     taking = false;
     switch (result) {
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -24,14 +24,8 @@
    */
   private static final Duration PAUSE = Duration.ofMillis(60);
 
-  /** Part of the objective for which a job that was never received waits for an owner. */
-  private static final double PATIENCE_WITHOUT_OWNER = 0.5;
-
-  /** A job that may have started is of use until three times its objective. */
-  private static final double USEFUL_OBJECTIVES = 3;
-
-  /** Takeovers last about this long. */
-  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  /** A job that was never received waits for an owner for half of its objective. */
+  private static final int PART_WITHOUT_OWNER = 2;
 
   private static final EventLog LOG = new EventLog(SubmissionRelay.class);
 
@@ -79,7 +73,7 @@
     }
     Optional<JobService> owner = seat.jobs();
     if (owner.isEmpty()) {
-      tryAgain(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER));
+      tryAgain(OwnerFailures.NO_OWNER);
       return;
     }
     lastOwner = owner;
@@ -104,9 +98,12 @@
   }
 
   private void tryAgain(JobAnswer last) {
-    double patience = submission.repeated() ? USEFUL_OBJECTIVES : PATIENCE_WITHOUT_OWNER;
+    Duration patience =
+        submission.repeated()
+            ? Objective.useful(objective)
+            : objective.dividedBy(PART_WITHOUT_OWNER);
     long spentNanos = timer.nanoTime() - startedNanos;
-    if (spentNanos + PAUSE.toNanos() < objective.toNanos() * patience) {
+    if (spentNanos + PAUSE.toNanos() < patience.toNanos()) {
       int waitingAs = attempt;
       timer.after(
           PAUSE,
--- a/fleet/src/main/java/org/lovagerack/fleet/job/Objective.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/Objective.java
@@ -7,6 +7,9 @@
 /** The time within which a caller wants a job to end. */
 public final class Objective {
 
+  /** A job is of use to its caller until so many times its objective. */
+  private static final int USEFUL_OBJECTIVES = 3;
+
   private Objective() {}
 
   /** Returns the caller's estimate of the longest chain of tasks. */
@@ -30,4 +33,9 @@
     long chain = (long) (estimatedChain(spec).toNanos() * queue.stretch());
     return Duration.ofNanos(chain).plus(queue.targetLatency());
   }
+
+  /** Returns the time for which a job with an objective is of use to its caller. */
+  public static Duration useful(Duration objective) {
+    return objective.multipliedBy(USEFUL_OBJECTIVES);
+  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Admission.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Admission.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.lovagerack.fleet.job.Objective;
 
 /**
  * Refuses at once what can no longer be served in useful time. Answers bursts over the capacity of
@@ -9,9 +10,6 @@
  */
 final class Admission {
 
-  /** A job is of use to its caller until three times its objective. */
-  private static final double USEFUL_OBJECTIVES = 3;
-
   private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(30);
 
   private Admission() {}
@@ -31,7 +29,7 @@
       return Optional.of(Duration.ofSeconds(1));
     }
     double wait = queuedWork / capacity;
-    double useful = objective.toNanos() * USEFUL_OBJECTIVES / 1e9;
+    double useful = Objective.useful(objective).toNanos() / 1e9;
     double excess = wait + ownDuration.toNanos() / 1e9 - useful;
     if (excess <= 0) {
       return Optional.empty();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EntryContacts.java
@@ -62,9 +62,7 @@
 
   /** Returns whether an entry VM was heard from a short time ago. */
   boolean inContact(EntryId entry) {
-    Contact contact = contacts.get(entry);
-    return entry.equals(self)
-        || (contact != null && clock.since(contact.heard()).compareTo(SILENCE) < 0);
+    return heardWithin(SILENCE, entry);
   }
 
   /**
@@ -72,9 +70,13 @@
    * to go on with its jobs.
    */
   boolean heardLately(EntryId entry) {
+    return heardWithin(LATELY, entry);
+  }
+
+  private boolean heardWithin(Duration time, EntryId entry) {
     Contact contact = contacts.get(entry);
     return entry.equals(self)
-        || (contact != null && clock.since(contact.heard()).compareTo(LATELY) < 0);
+        || (contact != null && clock.since(contact.heard()).compareTo(time) < 0);
   }
 
   /** Forgets entry VMs that are silent. */
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -31,8 +31,6 @@
 
   private static final Duration QUERY_TIMEOUT = Duration.ofMillis(700);
 
-  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-
   private final HttpCaller caller;
   private final EntryVm self;
 
@@ -195,12 +193,11 @@
 
     private static JobAnswer answer(HttpReply reply) {
       return switch (reply) {
-        case HttpReply.NotSent notSent ->
-            new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, RETRY_AFTER);
+        case HttpReply.NotSent notSent -> PeerProtocol.NOT_THE_OWNER;
         case HttpReply.NoResponse none -> new JobAnswer.Unresolved(ErrorKind.OWNER_UNREACHABLE);
         case HttpReply.Response response -> {
           if (response.status() != PeerProtocol.OK) {
-            yield new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, RETRY_AFTER);
+            yield PeerProtocol.NOT_THE_OWNER;
           }
           try {
             yield PeerProtocol.decode(response.body());
--- a/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
@@ -42,6 +42,12 @@
 
   static final int OK = 200;
 
+  /**
+   * A process that is not reached, or does not own the shard: the owner is looked for meanwhile.
+   */
+  static final JobAnswer NOT_THE_OWNER =
+      new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, Duration.ofSeconds(1));
+
   /** Another incarnation has the address. */
   static final int MISDIRECTED = 421;
 
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -4,7 +4,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
-import java.util.Iterator;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.entry.JobRouter;
 import org.lovagerack.fleet.job.EntryId;
@@ -29,9 +28,6 @@
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
 
-  /** The caller looks for the new owner in the meantime. */
-  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-
   private final JobRouter router;
   private final EntryContacts contacts;
   private final long incarnation;
@@ -72,7 +68,7 @@
       call(request, entry, path.substring(PeerProtocol.JOBS_PATH.length()), answer);
     } else if (path.startsWith(PeerProtocol.QUEUES_PATH)) {
       String queue = path.substring(PeerProtocol.QUEUES_PATH.length());
-      sumPending(router.ownShards().iterator(), queue, 0, answer);
+      router.ownPending(queue, answer);
     } else {
       request.response().setStatusCode(NOT_FOUND).end();
     }
@@ -148,29 +144,6 @@
   }
 
   private void own(String jobId, Consumer<JobAnswer> answer, Consumer<JobService> call) {
-    router
-        .ownJobs(jobId)
-        .ifPresentOrElse(
-            call,
-            () -> answer.accept(new JobAnswer.Refused(ErrorKind.OWNER_UNREACHABLE, RETRY_AFTER)));
-  }
-
-  private static void sumPending(
-      Iterator<JobService> shards, String queue, long sum, Consumer<JobAnswer> answer) {
-    if (!shards.hasNext()) {
-      answer.accept(new JobAnswer.Pending(sum));
-      return;
-    }
-    shards
-        .next()
-        .pending(
-            queue,
-            given -> {
-              if (given instanceof JobAnswer.Pending pending) {
-                sumPending(shards, queue, sum + pending.jobs(), answer);
-              } else {
-                answer.accept(given);
-              }
-            });
+    router.ownJobs(jobId).ifPresentOrElse(call, () -> answer.accept(PeerProtocol.NOT_THE_OWNER));
   }
 }
