Look at each worker once for each task that is placed

Change: the list of workers is copied once a placement instead of once a task, and the room of a worker, which goes through its runs, is computed once instead of twice. TaskQueue.contains had no caller. No behaviour changes.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Predicate;
 import org.lovagerack.fleet.configuration.ConfigurationHolder;
 import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.fleet.job.Resources;
 import org.lovagerack.fleet.job.TaskRun;
 import org.lovagerack.foundation.timer.TimerService;
 
@@ -56,6 +58,7 @@
   }
 
   private void place() {
+    Collection<WorkerLink> workers = links.all();
     for (Job job : book.queue().inOrder(timer.nanoTime())) {
       if (!mayStart.test(job)) {
         continue;
@@ -64,7 +67,7 @@
       boolean placedAll = true;
       for (Task task : job.tasks()) {
         if (task.phase() == Task.Phase.WAITING) {
-          placedAll &= job.ready(task) && place(task, service);
+          placedAll &= job.ready(task) && place(task, service, workers);
         }
       }
       if (placedAll) {
@@ -82,16 +85,19 @@
         .orElse(job.queue().service());
   }
 
-  private boolean place(Task task, String service) {
+  private boolean place(Task task, String service, Collection<WorkerLink> workers) {
     if (links.mayBeAtWork(task.id())) {
       return false;
     }
     List<WorkerLink> eligible = new ArrayList<>();
     List<Candidate> candidates = new ArrayList<>();
-    for (WorkerLink link : links.all()) {
-      if (link.entry().service().equals(service) && task.step().request().fitsIn(link.room())) {
-        eligible.add(link);
-        candidates.add(candidate(task, link));
+    for (WorkerLink link : workers) {
+      if (link.entry().service().equals(service)) {
+        Resources room = link.room();
+        if (task.step().request().fitsIn(room)) {
+          eligible.add(link);
+          candidates.add(candidate(task, link, room));
+        }
       }
     }
     int chosen = Placement.choose(task.step(), candidates);
@@ -105,11 +111,11 @@
     return true;
   }
 
-  private Candidate candidate(Task task, WorkerLink link) {
+  private Candidate candidate(Task task, WorkerLink link, Resources room) {
     int tasksOfStep =
         task.step().maxPerWorker() == 0 ? 0 : link.runsOfStep(task.job().id(), task.id().step());
     return new Candidate(
-        link.room(),
+        room,
         link.entry().labels(),
         speeds.speed(link.id()),
         speeds.distrusted(link.id()),
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/TaskQueue.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/TaskQueue.java
@@ -20,10 +20,6 @@
     jobs.add(job);
   }
 
-  boolean contains(Job job) {
-    return jobs.contains(job);
-  }
-
   void remove(Job job) {
     jobs.remove(job);
   }
