Share ports, settings and silent peers between the tests, the rehearsal and the soak

Change: FreePort, PlatformEntries.nodeSettings, LivingPeers and SilentJobs replace copies in Rehearsal, SoakVm, Loopback, EntryNodeTest, JobRouterTest, SubmissionRelayTest and IslandSeatTest; Disruptions selects its intervals in one place. No assertion changes.

--- a/fleet/src/test/java/org/lovagerack/fleet/entry/IslandSeatTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/IslandSeatTest.java
@@ -14,13 +14,14 @@
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.JobState;
-import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeNetwork;
 import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.LivingPeers;
 import org.lovagerack.fleet.support.OwnedVm;
+import org.lovagerack.fleet.support.SilentJobs;
 import org.lovagerack.foundation.error.ErrorKind;
 
 /** Plays a failure domain that is cut off from owner and store, and the end of the cut. */
@@ -182,7 +183,7 @@
                     && refused.kind() == ErrorKind.PLATFORM_UNAVAILABLE);
   }
 
-  private static final class Peers implements PeerCalls {
+  private static final class Peers extends LivingPeers {
     private final Set<String> alive = new HashSet<>();
 
     @Override
@@ -191,30 +192,9 @@
       callback.accept(alive.contains(address) ? new Alive(1) : new Silent());
     }
 
-    @Override
-    public void view(
-        String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {}
-
     @Override
     public JobService jobsAt(String address, long incarnation) {
-      return new NoJobs();
+      return new SilentJobs();
     }
   }
-
-  private static final class NoJobs implements JobService {
-    @Override
-    public void submit(Submission submission, Consumer<JobAnswer> callback) {}
-
-    @Override
-    public void abandon(Submission submission) {}
-
-    @Override
-    public void state(String jobId, Consumer<JobAnswer> callback) {}
-
-    @Override
-    public void cancel(String jobId, Consumer<JobAnswer> callback) {}
-
-    @Override
-    public void pending(String queueName, Consumer<JobAnswer> callback) {}
-  }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/JobRouterTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobRouterTest.java
@@ -6,13 +6,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.EntryVm;
-import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.LivingPeers;
 
 /** Plays entry VMs that look for shards to own, and checks how the shards are spread. */
 final class JobRouterTest {
@@ -124,21 +123,4 @@
         .mapToLong(vm -> routers.get(vm).ownedShards())
         .sum();
   }
-
-  private static final class LivingPeers implements PeerCalls {
-    @Override
-    public void probe(
-        String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
-      callback.accept(new Alive(0));
-    }
-
-    @Override
-    public void view(
-        String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {}
-
-    @Override
-    public JobService jobsAt(String address, long incarnation) {
-      throw new IllegalStateException("no job is submitted in this test");
-    }
-  }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -21,6 +21,8 @@
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.LivingPeers;
+import org.lovagerack.fleet.support.SilentJobs;
 import org.lovagerack.foundation.error.ErrorKind;
 
 /** Guards what a client is told when the owner of its job fails or changes. */
@@ -133,25 +135,15 @@
     assertThat(answers).containsExactly(COMPLETED);
   }
 
-  private static final class ScriptedPeers implements PeerCalls {
+  private static final class ScriptedPeers extends LivingPeers {
     private final Deque<JobAnswer> script = new ArrayDeque<>();
     private final List<Submission> submissions = new ArrayList<>();
     private final List<String> abandoned = new ArrayList<>();
     private final List<Consumer<JobAnswer>> open = new ArrayList<>();
 
-    @Override
-    public void probe(
-        String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
-      callback.accept(new Alive(0));
-    }
-
-    @Override
-    public void view(
-        String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {}
-
     @Override
     public JobService jobsAt(String address, long incarnation) {
-      return new JobService() {
+      return new SilentJobs() {
         @Override
         public void submit(Submission submission, Consumer<JobAnswer> callback) {
           submissions.add(submission);
@@ -162,15 +154,6 @@
         public void abandon(Submission submission) {
           abandoned.add(address);
         }
-
-        @Override
-        public void state(String jobId, Consumer<JobAnswer> callback) {}
-
-        @Override
-        public void cancel(String jobId, Consumer<JobAnswer> callback) {}
-
-        @Override
-        public void pending(String queueName, Consumer<JobAnswer> callback) {}
       };
     }
   }
--- a/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
+++ b/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
@@ -14,7 +14,6 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.lovagerack.eventloop.EventLoopTimer;
 import org.lovagerack.node.settings.NodeSettings;
+import org.lovagerack.platform.standin.FreePort;
 import org.lovagerack.platform.standin.PlatformEntries;
 import org.lovagerack.platform.standin.StoreStandIn;
 import org.lovagerack.platform.standin.WorkerStandIn;
@@ -65,10 +65,10 @@
   }
 
   private void startNode(String name, int storePort) throws Exception {
-    int clientPort = freePort();
-    int readinessPort = freePort();
-    int metricsPort = freePort();
-    String peerAddress = "127.0.0.1:" + freePort();
+    int clientPort = FreePort.on("127.0.0.1");
+    int readinessPort = FreePort.on("127.0.0.1");
+    int metricsPort = FreePort.on("127.0.0.1");
+    String peerAddress = "127.0.0.1:" + FreePort.on("127.0.0.1");
     NodeSettings settings =
         new NodeSettings(
             name,
@@ -335,10 +335,4 @@
         .toCompletableFuture()
         .get(HANG_SECONDS, TimeUnit.SECONDS);
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/soak/src/main/java/org/lovagerack/soak/Disruptions.java
+++ b/soak/src/main/java/org/lovagerack/soak/Disruptions.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.lovagerack.foundation.timer.TimerService;
 
 /** When which part was disturbed; promises with a time bound hold only where all was calm. */
@@ -47,18 +48,17 @@
 
   /** Returns whether no part whose name matches was disturbed at any moment since a time. */
   boolean calmSince(Predicate<String> subject, long sinceNanos) {
-    return intervals.stream()
-        .noneMatch(interval -> subject.test(interval.subject) && interval.untilNanos >= sinceNanos);
+    return since(sinceNanos).noneMatch(interval -> subject.test(interval.subject));
   }
 
   /** As {@link #calmSince}, but planned work does not count as a disturbance. */
   boolean soundSince(Predicate<String> subject, long sinceNanos) {
-    return intervals.stream()
-        .noneMatch(
-            interval ->
-                !interval.planned
-                    && subject.test(interval.subject)
-                    && interval.untilNanos >= sinceNanos);
+    return since(sinceNanos)
+        .noneMatch(interval -> !interval.planned && subject.test(interval.subject));
+  }
+
+  private Stream<Interval> since(long sinceNanos) {
+    return intervals.stream().filter(interval -> interval.untilNanos >= sinceNanos);
   }
 
   /** Returns whether planned work on a part began before a time and has not ended by then. */
--- a/soak/src/main/java/org/lovagerack/soak/Loopback.java
+++ b/soak/src/main/java/org/lovagerack/soak/Loopback.java
@@ -1,12 +1,6 @@
 package org.lovagerack.soak;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import org.lovagerack.platform.standin.FreePort;
 
 /**
  * The loopback address that the entry VMs of this process listen on. Each soak has its own, as two
@@ -20,9 +14,6 @@
   /** Address in 127.0.0.0/8 that follows from the process identifier. */
   static final String HOST = host(ProcessHandle.current().pid());
 
-  /** Ports that were handed out; a closed socket's port may be offered again at once. */
-  private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
-
   private Loopback() {}
 
   private static String host(long processId) {
@@ -37,19 +28,6 @@
 
   /** Returns a port that nobody listens on and that was not returned before. */
   static int freePort() {
-    int port = offeredPort();
-    while (!GIVEN.add(port)) {
-      port = offeredPort();
-    }
-    return port;
-  }
-
-  private static int offeredPort() {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress(InetAddress.getByName(HOST), 0));
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    return FreePort.on(HOST);
   }
 }
--- a/soak/src/main/java/org/lovagerack/soak/SoakVm.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakVm.java
@@ -1,6 +1,5 @@
 package org.lovagerack.soak;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -17,6 +16,7 @@
 import org.lovagerack.eventloop.HttpCaller;
 import org.lovagerack.eventloop.HttpReply;
 import org.lovagerack.foundation.timer.TimerService;
+import org.lovagerack.platform.standin.PlatformEntries;
 
 /** One entry VM: its process, which is started again whenever it ends, and its proxies. */
 final class SoakVm {
@@ -27,7 +27,8 @@
   /** Longer than every objective of the soak's jobs, so that a planned stop has to cut none. */
   private static final Duration STOP_WITHIN = Duration.ofMillis(2500);
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  /** Two shards with the usual eight workers, so that owners differ. */
+  private static final int WORKERS_PER_SHARD = 4;
 
   private final int index;
   private final TimerService timer;
@@ -230,20 +231,15 @@
 
   private void writeSettings(int peerProxyPort, int storeProxyPort) {
     ObjectNode root =
-        MAPPER
-            .createObjectNode()
-            .put("name", "vm-" + index)
-            .put("failureDomain", "zone-1")
-            .put("clientAddress", Loopback.address(clientPort))
-            .put("readinessAddress", Loopback.address(readinessPort))
-            .put("peerAddress", Loopback.address(peerPort))
+        PlatformEntries.nodeSettings(
+                "vm-" + index,
+                Loopback.HOST,
+                clientPort,
+                readinessPort,
+                peerPort,
+                Loopback.address(storeProxyPort))
             .put("advertisedPeerAddress", Loopback.address(peerProxyPort))
-            .put("metricsAddress", Loopback.address(Loopback.freePort()))
-            .put("storeAddress", Loopback.address(storeProxyPort))
-            .put("processorShare", 1)
-            .put("workersPerShard", 4)
-            .put("longestWorkerLeaseMillis", 1000)
-            .put("statusRetentionMillis", 120_000)
+            .put("workersPerShard", WORKERS_PER_SHARD)
             .put("stopWithinMillis", STOP_WITHIN.toMillis());
     try {
       Files.writeString(settingsFile, root.toString());
