--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -13,7 +13,7 @@
 import org.lovagerack.foundation.timer.TimerService;
 
 /** Follows the runs of a shard's tasks, and decides what becomes of a task when its run is over. */
-final class RunTracker implements WorkerLink.Listener {
+final class RunTracker implements RunListener {
 
   private static final EventLog LOG = new EventLog(RunTracker.class);
 
@@ -76,7 +76,7 @@
   }
 
   @Override
-  public WorkerLink.Found found(WorkerLink link, TaskRun run) {
+  public RunListener.Found found(WorkerLink link, TaskRun run) {
     Optional<Task> task = book.find(run.task());
     task.ifPresent(known -> known.job().skipRunNumber(run.run()));
     boolean adopt = task.filter(this::unknownFate).isPresent();
@@ -97,7 +97,7 @@
       task.get().assign(run, link);
       task.get().job().markStarted();
     }
-    return new WorkerLink.Found(keep, adopt ? task.get().step().request() : Resources.NONE);
+    return new RunListener.Found(keep, adopt ? task.get().step().request() : Resources.NONE);
   }
 
   /** Continues the runs that an earlier owner started for a job that was submitted again. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -125,7 +125,7 @@
                 first
                     .flatMap(ShardLease::decode)
                     .map(LeaseRecord::duration)
-                    .orElse(ShardLog.LONGEST_LEASE)
+                    .orElse(LeaseLength.LONGEST)
                     .plus(MARGIN),
                 () ->
                     read(
@@ -162,7 +162,7 @@
             .orElse(stored.map(StoredRow::version).orElse(0L));
     long granted = FencingTokens.next(token);
     LeaseRecord taken =
-        new LeaseRecord(granted, granted, 0, ownAddress, ownIncarnation, ShardLog.SHORTEST_LEASE);
+        new LeaseRecord(granted, granted, 0, ownAddress, ownIncarnation, LeaseLength.SHORTEST);
     LeaseClock.Moment sentAt = clock.now();
     store.commit(
         new RowTransaction(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
@@ -27,37 +27,12 @@
  */
 final class ShardLog implements TenureLog {
 
-  /**
-   * Shortest time for which the owner may act after a transaction was sent. Bounds how long a shard
-   * whose owner is silent is without one.
-   */
-  static final Duration SHORTEST_LEASE = Duration.ofMillis(400);
-
-  /** Longest lease, for a store that is slow. */
-  static final Duration LONGEST_LEASE = Duration.ofSeconds(3);
-
-  /** A lease lasts for as many transactions, so that it is kept when the store is slow. */
-  private static final int TRANSACTIONS_PER_LEASE = 6;
-
-  /** Part of the remembered latency that one transaction forgets. */
-  private static final double LATENCY_DECAY = 0.1;
-
   /** Renewals per lease: three may fail before it expires. */
   private static final int RENEWALS_PER_LEASE = 4;
 
   /** The store's limit on the entries of a transaction. */
   private static final int MAX_ENTRIES = 100;
 
-  /** Many times the few milliseconds of a healthy store. */
-  private static final Duration FIRST_TIMEOUT = Duration.ofMillis(300);
-
-  private static final Duration LONGEST_TIMEOUT = Duration.ofMillis(2400);
-  private static final Duration FIRST_BACKOFF = Duration.ofMillis(30);
-  private static final Duration LONGEST_BACKOFF = Duration.ofMillis(240);
-
-  /** Unanswered transactions after which new work is refused. */
-  private static final int UNANSWERED_LIMIT = 2;
-
   private static final EventLog LOG = new EventLog(ShardLog.class);
 
   private final TimerService timer;
@@ -65,12 +40,13 @@
   private final RowStore store;
   private final ShardRows rows;
   private final Runnable leaseLost;
+  private final StoreHealth health;
+  private final LeaseLength leaseLength = new LeaseLength();
   private final Deque<CommitEntry> waiting = new ArrayDeque<>();
   private LeaseRecord lease;
   private long leaseVersion;
   private LeaseClock.Moment confirmed;
   private Duration confirmedDuration;
-  private Duration latency = Duration.ZERO;
   private List<CommitEntry> batch;
   private boolean mayHaveBeenApplied;
   private boolean renewalDue;
@@ -81,9 +57,6 @@
   private boolean releasing;
   private Runnable released = () -> {};
   private Runnable tokenRaised = () -> {};
-  private int consecutiveFailures;
-  private boolean storeAvailable = true;
-  private Duration timeout = FIRST_TIMEOUT;
 
   /**
    * Creates the log of a tenure.
@@ -106,6 +79,7 @@
     this.clock = clock;
     this.store = store;
     this.rows = rows;
+    this.health = new StoreHealth(rows.partition());
     this.lease = lease;
     this.leaseVersion = leaseVersion;
     this.confirmed = takenAt;
@@ -119,7 +93,7 @@
   public void append(CommitEntry entry) {
     if (closed || releasing) {
       entry.listener().dropped("the shard has another owner");
-    } else if (entry.optional() && !storeAvailable) {
+    } else if (entry.optional() && !health.available()) {
       entry.listener().dropped("the store is unavailable");
     } else {
       waiting.add(entry);
@@ -130,7 +104,7 @@
   @Override
   public boolean leaseValid() {
     // The last attempt may have been applied although its answer is missing.
-    Duration duration = shorter(confirmedDuration, lease.duration());
+    Duration duration = LeaseLength.shorter(confirmedDuration, lease.duration());
     return !closed && clock.since(confirmed).compareTo(duration) < 0;
   }
 
@@ -146,7 +120,7 @@
 
   @Override
   public boolean storeAvailable() {
-    return storeAvailable;
+    return health.available();
   }
 
   @Override
@@ -200,18 +174,6 @@
     return lease.duration().dividedBy(RENEWALS_PER_LEASE);
   }
 
-  /** Returns how long the next lease is to last. */
-  private Duration nextDuration() {
-    Duration wanted = latency.multipliedBy(TRANSACTIONS_PER_LEASE);
-    return wanted.compareTo(SHORTEST_LEASE) < 0 ? SHORTEST_LEASE : shorter(wanted, LONGEST_LEASE);
-  }
-
-  private void observeLatency(LeaseClock.Moment sentAt) {
-    Duration observed = clock.since(sentAt);
-    Duration decayed = Duration.ofNanos((long) (latency.toNanos() * (1 - LATENCY_DECAY)));
-    latency = observed.compareTo(decayed) > 0 ? observed : decayed;
-  }
-
   private void pump() {
     if (closed || calling) {
       return;
@@ -224,7 +186,7 @@
       lease =
           releasing && waiting.isEmpty() && batch.isEmpty()
               ? lease.released()
-              : lease.renewed(nextDuration());
+              : lease.renewed(leaseLength.next());
       if (raiseDue) {
         raiseDue = false;
         lease = lease.raised();
@@ -265,10 +227,10 @@
     LeaseClock.Moment sentAt = clock.now();
     store.commit(
         new RowTransaction(conditions, writes, removals),
-        timeout,
+        health.timeout(),
         outcome -> {
           calling = false;
-          observeLatency(sentAt);
+          leaseLength.observe(clock.since(sentAt));
           if (!closed) {
             receive(outcome, sentAt);
           }
@@ -290,7 +252,7 @@
     confirmedDuration = lease.duration();
     boolean raised = lease.token() != confirmedToken;
     confirmedToken = lease.token();
-    answered();
+    health.answered(leaseVersion);
     List<CommitEntry> done = batch;
     batch = null;
     mayHaveBeenApplied = false;
@@ -329,7 +291,7 @@
     } else {
       leaseVersion = current.get().version();
       dropConflicting(conflict);
-      answered();
+      health.answered(leaseVersion);
       pump();
     }
   }
@@ -363,21 +325,13 @@
 
   private void failed(String reason, boolean unknown) {
     mayHaveBeenApplied |= unknown;
-    consecutiveFailures++;
-    if (storeAvailable && (!unknown || consecutiveFailures >= UNANSWERED_LIMIT)) {
-      storeAvailable = false;
-      LOG.write(LogEvent.PLATFORM_UNAVAILABLE, "partition", rows.partition(), "reason", reason);
-    }
-    if (unknown) {
-      timeout = shorter(timeout.multipliedBy(2), LONGEST_TIMEOUT);
-    }
-    if (!storeAvailable) {
+    Duration pause = health.failed(reason, unknown);
+    if (!health.available()) {
       dropOptional(reason);
     }
-    Duration backoff = FIRST_BACKOFF.multipliedBy(1L << Math.min(consecutiveFailures - 1, 3));
     calling = true;
     timer.after(
-        shorter(backoff, LONGEST_BACKOFF),
+        pause,
         () -> {
           calling = false;
           pump();
@@ -403,16 +357,6 @@
     }
   }
 
-  private void answered() {
-    consecutiveFailures = 0;
-    timeout = FIRST_TIMEOUT;
-    if (!storeAvailable) {
-      storeAvailable = true;
-      LOG.write(
-          LogEvent.PLATFORM_RECOVERED, "partition", rows.partition(), "version", leaseVersion);
-    }
-  }
-
   private void lose(String reason) {
     closed = true;
     LOG.write(
@@ -432,8 +376,4 @@
       lost.forEach(entry -> entry.listener().dropped(reason));
     }
   }
-
-  private static Duration shorter(Duration first, Duration second) {
-    return first.compareTo(second) <= 0 ? first : second;
-  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -107,7 +107,7 @@
     parts
         .timer()
         .after(
-            ShardLog.LONGEST_LEASE.plus(parts.bounds().workerLeaseSurelyOver()),
+            LeaseLength.LONGEST.plus(parts.bounds().workerLeaseSurelyOver()),
             () -> openGate("earlier leases are over"));
     new ShardRecovery(parts.timer(), parts.store(), rows, log.token(), () -> closed)
         .read(this::recover);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLink.java
@@ -28,42 +28,6 @@
  */
 final class WorkerLink {
 
-  /**
-   * What becomes of a run that an earlier owner started.
-   *
-   * @param goesOn whether the run is kept
-   * @param resources resources of the run, as far as they are known
-   */
-  record Found(boolean goesOn, Resources resources) {}
-
-  /** Receives what happens to runs. */
-  interface Listener {
-
-    /** The worker has reported for the first time under this owner. */
-    void joined(WorkerLink link);
-
-    /** A run is at work that this link did not start. */
-    Found found(WorkerLink link, TaskRun run);
-
-    /** A run has ended; its receipt must be settled once the end is durable or does not matter. */
-    void ended(WorkerLink link, RunEnd end, EndReceipt receipt, Duration ranFor);
-
-    /** A run has certainly not ended as done and is not at work any more. */
-    void lost(WorkerLink link, TaskRun run, String reason);
-
-    /** A start was confirmed. */
-    void started(WorkerLink link, TaskRun run);
-
-    /** The worker has seen a higher fencing token than that of an order. */
-    void fenced(WorkerLink link, long usedToken);
-
-    /** The worker has more room than before. */
-    void roomGained(WorkerLink link);
-
-    /** Returns whether the owner may still extend the lease of the worker's runs. */
-    boolean mayExtend(WorkerLink link);
-  }
-
   /** Ends that one report lists at most. */
   private static final int REPORT_LIMIT = 500;
 
@@ -90,7 +54,7 @@
   private final WorkerCalls calls;
   private final FleetBounds bounds;
   private final LongSupplier token;
-  private final Listener listener;
+  private final RunListener listener;
   private final WorkerRuns runs;
   private final WorkerClock clock;
   private final ListedEnds ends = new ListedEnds();
@@ -114,7 +78,7 @@
       LongSupplier token,
       WorkerEntry entry,
       ActiveTasks activeTasks,
-      Listener listener) {
+      RunListener listener) {
     this.timer = timer;
     this.calls = calls;
     this.bounds = bounds;
@@ -471,7 +435,7 @@
   }
 
   private void meet(TaskRun run) {
-    Found found = listener.found(this, run);
+    RunListener.Found found = listener.found(this, run);
     boolean unclaimed = found.goesOn() && found.resources().equals(Resources.NONE);
     runs.add(run, ActiveRun.found(found.resources(), unclaimed, timer.nanoTime()));
     if (!found.goesOn()) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerLinks.java
@@ -24,7 +24,7 @@
   private final Predicate<WorkerId> mayUse;
   private final FleetBounds bounds;
   private final LongSupplier token;
-  private final WorkerLink.Listener listener;
+  private final RunListener listener;
   private final Runnable changed;
   private final Map<String, WorkerLink> links = new TreeMap<>();
   private final Consumer<WorkerId> directoryListener = this::directoryChanged;
@@ -45,7 +45,7 @@
       Predicate<WorkerId> mayUse,
       FleetBounds bounds,
       LongSupplier token,
-      WorkerLink.Listener listener,
+      RunListener listener,
       Runnable changed) {
     this.timer = timer;
     this.calls = calls;
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLogTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLogTest.java
@@ -26,7 +26,7 @@
   private final List<String> outcomes = new ArrayList<>();
   private final List<String> losses = new ArrayList<>();
   private final LeaseRecord lease =
-      new LeaseRecord(1000, 1000, 0, "10.0.0.1:1", 7, ShardLog.SHORTEST_LEASE);
+      new LeaseRecord(1000, 1000, 0, "10.0.0.1:1", 7, LeaseLength.SHORTEST);
 
   private ShardLog log() {
     store.put(ROWS.lease(), lease.encode().toText());
@@ -138,7 +138,7 @@
     ShardLog log = log();
     store.put(
         ROWS.lease(),
-        new LeaseRecord(2000, 2000, 0, "10.0.0.2:1", 8, ShardLog.SHORTEST_LEASE).encode().toText());
+        new LeaseRecord(2000, 2000, 0, "10.0.0.2:1", 8, LeaseLength.SHORTEST).encode().toText());
     log.append(write("key", true));
     run(100);
 
@@ -154,7 +154,7 @@
     run(5000);
     assertThat(log.leaseValid()).isTrue();
     connection.setFault(FakeStore.Fault.SILENT);
-    run(ShardLog.SHORTEST_LEASE.toMillis() + 200);
+    run(LeaseLength.SHORTEST.toMillis() + 200);
 
     assertThat(log.leaseValid()).isFalse();
   }
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerLinkTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerLinkTest.java
@@ -84,12 +84,12 @@
     }
   }
 
-  private final class Recorder implements WorkerLink.Listener {
+  private final class Recorder implements RunListener {
     @Override
     public void joined(WorkerLink link) {}
 
     @Override
-    public WorkerLink.Found found(WorkerLink link, TaskRun run) {
+    public RunListener.Found found(WorkerLink link, TaskRun run) {
       throw new IllegalStateException("the worker lists no run");
     }
 
