--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
@@ -0,0 +1,212 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.FakeNetwork;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.OwnedVm;
+import org.lovagerack.fleet.worker.WorkerEntry;
+
+/** Plays jobs on one owner after another, and checks that no task runs beside itself. */
+final class OwnerChangeTest {
+
+  private static final Duration TASK_TIME = Duration.ofMillis(100);
+
+  private final FakeFleet fleet = new FakeFleet(4, TASK_TIME);
+
+  private void run(long millis) {
+    fleet.timer.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void duplicateOfKeptJobRemainsOneJobAlsoUnderTheNextOwner() {
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 2, 100, false));
+    run(500);
+    first.kill(fleet.network);
+    OwnedVm second = fleet.vm("second").takeShard().orElseThrow();
+    run(50);
+
+    List<JobAnswer> answers = second.submit(FakeFleet.job("job-1", 2, 100, false));
+    run(500);
+
+    assertThat(answers).containsExactly(new JobAnswer.Accepted());
+    assertThat(second.state("job-1")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(2);
+  }
+
+  @Test
+  void nextOwnerContinuesKeptJobsWithoutRunningATaskTwice() {
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 12, 100, false));
+    run(150);
+    first.kill(fleet.network);
+
+    OwnedVm second = fleet.vm("second").takeShard().orElseThrow();
+    run(4000);
+
+    assertThat(second.state("job-1")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void repeatedJobContinuesTheRunsOfTheOwnerBefore() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(2500)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 2500, true));
+    run(50);
+    List<JobAnswer> answers = new ArrayList<>();
+    first.shard().release(() -> {});
+    run(20);
+    first.shard().close();
+    FakeFleet.Vm second = fleet.vm("second");
+    OwnedShard shard = takeAtOnce(second, Optional.empty(), second.directory.entries());
+    run(60);
+    shard.jobs().submit(FakeFleet.job("job-1", 4, 2500, true).asRepeated(), answers::add);
+    run(3000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(4);
+  }
+
+  @Test
+  void jobThatComesWhenItsOldRunsAreBeingStoppedWaitsForTheirEnd() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 2, 1000, true));
+    run(50);
+    first.kill(fleet.network);
+    FakeFleet.Vm second = fleet.vm("second");
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
+    run(590);
+    // The stop of the run does not arrive, so the run goes on until its lease is over.
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    fleet.workers.getFirst().setDraining(true);
+    second.directory.put(fleet.workers.getFirst().entry());
+    run(40);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 2, 1000, true).asRepeated(), answers::add);
+    run(4000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void runOfAnUnknownJobIsNotExtendedWhileItsOwnerMayCountItAsOver() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(4)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 4000, true));
+    run(50);
+    // The first owner is cut off from one worker and from the store; the second reaches only both.
+    first.vm().storeConnection.setFault(FakeStore.Fault.SILENT);
+    FakeFleet.Vm second = fleet.vm("second");
+    for (FakeWorker worker : fleet.workers) {
+      boolean lost = worker == fleet.workers.getFirst();
+      fleet.network.setPath(lost ? "first" : "second", worker, FakeNetwork.Path.RESET);
+    }
+    run(600);
+    takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
+    run(4000);
+
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void repeatedJobWaitsForAWorkerWhoseEntryLapsed() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(900)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 2, 900, true));
+    run(50);
+    first.kill(fleet.network);
+    FakeFleet.Vm second = fleet.vm("second");
+    List<WorkerEntry> known = List.copyOf(second.directory.entries());
+    // The worker that runs the job was cut off from the store, as was its owner.
+    second.directory.remove(fleet.workers.getFirst().entry().id());
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), known);
+    run(60);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 2, 900, true).asRepeated(), answers::add);
+    run(4000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void repeatedJobWaitsWhileAWorkerMayStillRunIt() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 1000, true));
+    run(50);
+    // The second owner cannot reach a worker that goes on running under the first one's lease.
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    first.kill(fleet.network);
+    FakeFleet.Vm second = fleet.vm("second");
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
+    run(20);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 4, 1000, true).asRepeated(), answers::add);
+    run(6000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  @Test
+  void keptTaskOnAWorkerThatTheNextOwnerCannotReachIsNotStartedElsewhereWhileItMayRun() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(900)));
+    OwnedVm first = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    first.submit(FakeFleet.job("job-1", 4, 900, false));
+    run(50);
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    first.kill(fleet.network);
+    FakeFleet.Vm second = fleet.vm("second");
+    OwnedShard shard = takeAtOnce(second, Optional.of(storedLease()), second.directory.entries());
+    run(9000);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().state("job-1", answers::add);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.problems()).isEmpty();
+  }
+
+  /** Takes the shard without waiting for a lease to expire, as from a process that is gone. */
+  private OwnedShard takeAtOnce(
+      FakeFleet.Vm vm, Optional<LeaseRecord> believed, Collection<WorkerEntry> known) {
+    List<ShardLease.Result> results = new ArrayList<>();
+    vm.lease().take(believed, results::add);
+    run(20);
+    OwnedShard shard = ((ShardLease.Taken) results.getFirst()).shard();
+    shard.start(known, () -> {});
+    return shard;
+  }
+
+  private LeaseRecord storedLease() {
+    try {
+      return LeaseRecord.decode(fleet.store.rows().get(ShardRows.of(0).lease()).value());
+    } catch (MalformedRecordException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
