--- a/eventloop/src/main/java/org/lovagerack/eventloop/HttpCaller.java
+++ b/eventloop/src/main/java/org/lovagerack/eventloop/HttpCaller.java
@@ -56,6 +56,19 @@
       Consumer<HttpReply> callback) {
     Call call = new Call(callback);
     call.timer = vertx.setTimer(Math.max(1, timeout.toMillis()), ignored -> call.expire());
+    client
+        .request(options(method, address, uri, headers))
+        .onSuccess(request -> call.send(request, body))
+        .onFailure(cause -> call.finish(new HttpReply.NotSent(String.valueOf(cause.getMessage()))));
+  }
+
+  /**
+   * Returns what Vert.x needs to know of a request.
+   *
+   * @param address IP number and port
+   */
+  public static RequestOptions options(
+      HttpMethod method, String address, String uri, Map<String, String> headers) {
     int colon = address.lastIndexOf(':');
     RequestOptions options =
         new RequestOptions()
@@ -64,10 +77,7 @@
             .setPort(Integer.parseInt(address.substring(colon + 1)))
             .setURI(uri);
     headers.forEach(options::putHeader);
-    client
-        .request(options)
-        .onSuccess(request -> call.send(request, body))
-        .onFailure(cause -> call.finish(new HttpReply.NotSent(String.valueOf(cause.getMessage()))));
+    return options;
   }
 
   private final class Call {
--- a/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
+++ b/standins/src/main/java/org/lovagerack/standins/cluster/BlockingHttp.java
@@ -8,13 +8,13 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.lovagerack.eventloop.HttpCaller;
 
 /** Calls HTTP interfaces and waits for the answer. */
 public final class BlockingHttp {
@@ -49,17 +49,9 @@
   public Reply call(
       HttpMethod method, String address, String path, Map<String, String> headers, String body)
       throws IOException, InterruptedException {
-    int colon = address.lastIndexOf(':');
-    RequestOptions options =
-        new RequestOptions()
-            .setMethod(method)
-            .setHost(address.substring(0, colon))
-            .setPort(Integer.parseInt(address.substring(colon + 1)))
-            .setURI(path);
-    headers.forEach(options::putHeader);
     Future<Reply> reply =
         client
-            .request(options)
+            .request(HttpCaller.options(method, address, path, headers))
             .compose(request -> request.send(Buffer.buffer(body)).compose(BlockingHttp::reply));
     try {
       return reply.toCompletionStage().toCompletableFuture().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
