Wait for the successor of an owner that gave its shard up as planned

It reached the stopping VM after the shard was released; a job that no owner has received waited for half of its objective only (62 ms for this job), and the takeover took longer.

Ruled out: a lost answer (the reply was a whole 503, the job had not run), and the refusal of jobs that cannot end before the stop (its kind is "draining").

Change: while a shard changes hands as planned, SubmissionRelay goes on trying for as long as the job can still end while it is of use to its caller; after the loss of an owner it waits for half of the objective as before. The test on the driven timer fails without it.

Conclusion: the refusal was true but needless.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -133,6 +133,11 @@
     return owned != null;
   }
 
+  /** Returns whether the owner gave the shard up as planned and its successor is on the way. */
+  boolean changingHands() {
+    return owner != null && (owner.vacant() || (retired && lease.isOwn(owner)));
+  }
+
   /** Returns the fencing token of this process as the owner, or 0. */
   long ownedToken() {
     return owned == null ? 0 : owned.token();
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -24,7 +24,7 @@
    */
   private static final Duration PAUSE = Duration.ofMillis(60);
 
-  /** A job that was never received waits for an owner for half of its objective. */
+  /** A job that was never received waits for a lost owner's successor for half of its objective. */
   private static final int PART_WITHOUT_OWNER = 2;
 
   private static final EventLog LOG = new EventLog(SubmissionRelay.class);
@@ -98,10 +98,7 @@
   }
 
   private void tryAgain(JobAnswer last) {
-    Duration patience =
-        submission.repeated()
-            ? Objective.useful(objective)
-            : objective.dividedBy(PART_WITHOUT_OWNER);
+    Duration patience = patience();
     long spentNanos = timer.nanoTime() - startedNanos;
     if (spentNanos + PAUSE.toNanos() < patience.toNanos()) {
       int waitingAs = attempt;
@@ -117,6 +114,18 @@
     }
   }
 
+  /** Returns how long after its arrival the job is still worth another attempt. */
+  private Duration patience() {
+    if (submission.repeated()) {
+      return Objective.useful(objective);
+    }
+    if (seat.changingHands()) {
+      // Another owner follows within milliseconds, and the job can still end while it is of use.
+      return Objective.useful(objective).minus(Objective.estimatedChain(submission.spec()));
+    }
+    return objective.dividedBy(PART_WITHOUT_OWNER);
+  }
+
   /** Returns whether a refusal was decided by this VM; the owner writes its own. */
   private static boolean refusedHere(ErrorKind kind) {
     return kind == ErrorKind.NOT_READY || kind == ErrorKind.OWNER_UNREACHABLE;
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -21,6 +21,7 @@
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.LivingPeers;
 import org.lovagerack.fleet.support.SilentJobs;
 import org.lovagerack.foundation.error.ErrorKind;
@@ -108,6 +109,32 @@
         .containsExactly(new JobAnswer.Refused(ErrorKind.NOT_READY, Duration.ofSeconds(1)));
   }
 
+  /** The job's objective is 220 ms; half of it is over long before the successor comes. */
+  @Test
+  void jobWaitsForTheSuccessorOfAnOwnerThatGaveTheShardUp() {
+    vm.storeConnection.setFault(FakeStore.Fault.REFUSED);
+    ownerIs(1000, "");
+    submit(100);
+    run(400);
+    assertThat(answers).isEmpty();
+    peers.script.add(COMPLETED);
+    ownerIs(2000, "second");
+    run(100);
+
+    assertThat(answers).containsExactly(COMPLETED);
+  }
+
+  @Test
+  void jobIsRefusedWhenNoSuccessorComesWhileItIsOfUse() {
+    vm.storeConnection.setFault(FakeStore.Fault.REFUSED);
+    ownerIs(1000, "");
+    submit(100);
+    run(660);
+
+    assertThat(answers)
+        .containsExactly(new JobAnswer.Refused(ErrorKind.NOT_READY, Duration.ofSeconds(1)));
+  }
+
   @Test
   void jobGoesToTheNextOwnerWhenTheFirstIsReplaced() {
     ownerIs(1000, "first");
