Serve jobs that reach a new owner before it knows its shard

Cause: in the second after a takeover the owner refused jobs that it could have served. Every change of owner passes through this. Two more faults of SubmissionRelay were found by reading: a job that no owner had received counted as repeated for the next one, which then waits until no worker can run it unseen; and a job went to a new owner only after a pause of 60 ms, and was taken from and given back to this process when it became the owner itself.

Ruled out: start of the processes (strong VMs serve 0.4 s after the power returns) and the takeover itself (70 to 260 ms after a start).

Change: EarlySubmissions holds jobs until the earlier ones are read, for as long as they can still end while of use. Admission does not look at the capacity until the workers have reported, 500 ms at most. A job waits for the successor of a process that is known to be gone as it does after a planned handover, and goes to a new owner at once.

Conclusion: a decision on capacity needs to know whether it is known.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -48,6 +48,10 @@
   private boolean taking;
   private boolean probing;
   private boolean retired;
+
+  /** Whether the process of the owner is known to have ended. */
+  private boolean gone;
+
   private int unanswered;
 
   ShardSeat(
@@ -84,9 +88,7 @@
     boolean replaced = owner == null || !stored.sameTenure(owner);
     owner = stored;
     if (replaced) {
-      unanswered = 0;
-      island.reconnected();
-      ownerReplaced();
+      reached();
     }
     LOG.write(
         LogEvent.SHARD_OWNER,
@@ -101,6 +103,10 @@
     if (owned != null && !lease.isOwn(stored) && stored.token() >= owned.token()) {
       dropOwned();
     }
+    boolean ownTenure = owned != null && lease.isOwn(stored);
+    if (replaced && !ownTenure) {
+      ownerReplaced();
+    }
     if (stored.vacant()) {
       take();
     }
@@ -133,9 +139,12 @@
     return owned != null;
   }
 
-  /** Returns whether the owner gave the shard up as planned and its successor is on the way. */
+  /**
+   * Returns whether a successor of the owner is on the way: the owner gave the shard up as planned,
+   * or its process is gone. That of an owner that is silent waits for its lease to end.
+   */
   boolean changingHands() {
-    return owner != null && (owner.vacant() || (retired && lease.isOwn(owner)));
+    return owner != null && (owner.vacant() || gone || (retired && lease.isOwn(owner)));
   }
 
   /** Returns the fencing token of this process as the owner, or 0. */
@@ -220,14 +229,14 @@
   private void probed(LeaseRecord target, PeerCalls.Liveness liveness) {
     switch (liveness) {
       case PeerCalls.Alive alive -> {
-        unanswered = 0;
-        island.reconnected();
+        reached();
         if (alive.viewVersion() != island.view().version()) {
           peers.view(
               target.ownerAddress(), target.ownerIncarnation(), PROBE_TIMEOUT, island::learn);
         }
       }
-      case PeerCalls.Gone gone -> {
+      case PeerCalls.Gone ended -> {
+        gone = true;
         unanswered = CERTAINLY_UNANSWERED;
         LOG.write(LogEvent.OWNER_GONE, "shard", shard, "owner", target.ownerAddress());
         take();
@@ -240,6 +249,13 @@
     }
   }
 
+  /** The owner is known to be alive, or is a new one. */
+  private void reached() {
+    gone = false;
+    unanswered = 0;
+    island.reconnected();
+  }
+
   private void takeIfUnrenewed() {
     if (taking) {
       return;
@@ -296,12 +312,12 @@
         owned = taken.shard();
         owned.start(island.knownWorkers(), this::dropOwned);
         LOG.write(LogEvent.SHARD_TAKEN, "shard", shard, "token", owned.token());
+        ownerReplaced();
       }
       case ShardLease.HeldByOther other -> {
         if (owner == null || other.record().token() > owner.token()) {
           owner = other.record();
-          unanswered = 0;
-          island.reconnected();
+          reached();
         }
       }
       case ShardLease.StoreUnreachable unreachable -> {
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -24,7 +24,10 @@
    */
   private static final Duration PAUSE = Duration.ofMillis(60);
 
-  /** A job that was never received waits for a lost owner's successor for half of its objective. */
+  /**
+   * A job that was never received waits for half of its objective if the owner is silent: taking
+   * the shard from it lasts for about a second.
+   */
   private static final int PART_WITHOUT_OWNER = 2;
 
   private static final EventLog LOG = new EventLog(SubmissionRelay.class);
@@ -35,7 +38,10 @@
   private final long startedNanos;
   private final Duration objective;
   private Submission submission;
+
+  /** The owner that may have the job, after an attempt that it has not refused. */
   private Optional<JobService> lastOwner = Optional.empty();
+
   private int attempt;
   private boolean finished;
 
@@ -55,16 +61,19 @@
     send();
   }
 
-  /** The owner that the last attempt went to does not serve the shard any more. */
+  /** Another owner serves the shard now, or none. */
   void ownerReplaced() {
-    if (!finished) {
+    if (finished) {
+      return;
+    }
+    attempt++;
+    if (lastOwner.isPresent()) {
       // The job must not go on there as well; an owner that hears nothing ends it by itself.
-      lastOwner.ifPresent(owner -> owner.abandon(submission));
+      lastOwner.get().abandon(submission);
       lastOwner = Optional.empty();
       submission = submission.asRepeated();
-      attempt++;
-      tryAgain(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
     }
+    send();
   }
 
   private void send() {
@@ -89,6 +98,8 @@
     if (OwnerFailures.isOne(answer)) {
       if (answer instanceof JobAnswer.Unresolved) {
         submission = submission.asRepeated();
+      } else {
+        lastOwner = Optional.empty();
       }
       seat.suspectOwner();
       tryAgain(answer);
@@ -120,8 +131,8 @@
       return Objective.useful(objective);
     }
     if (seat.changingHands()) {
-      // Another owner follows within milliseconds, and the job can still end while it is of use.
-      return Objective.useful(objective).minus(Objective.estimatedChain(submission.spec()));
+      // Another owner follows within about a tenth of a second.
+      return Objective.timeToStart(objective, submission.spec());
     }
     return objective.dividedBy(PART_WITHOUT_OWNER);
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/job/Objective.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/Objective.java
@@ -38,4 +38,9 @@
   public static Duration useful(Duration objective) {
     return objective.multipliedBy(USEFUL_OBJECTIVES);
   }
+
+  /** Returns how long a job can wait for its start and still end while it is of use. */
+  public static Duration timeToStart(Duration objective, JobSpec spec) {
+    return useful(objective).minus(estimatedChain(spec));
+  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -40,12 +40,12 @@
   private final WorkerLinks links;
   private final WorkerSpeeds speeds;
   private final Placer placer;
-  private final BooleanSupplier recovered;
+  private final BooleanSupplier workersKnown;
 
   /**
    * Creates an intake.
    *
-   * @param recovered whether the jobs of earlier owners are known
+   * @param workersKnown whether the workers have had time to report to this owner
    */
   JobIntake(
       OwnedShardFactory parts,
@@ -57,7 +57,7 @@
       WorkerLinks links,
       WorkerSpeeds speeds,
       Placer placer,
-      BooleanSupplier recovered) {
+      BooleanSupplier workersKnown) {
     this.parts = parts;
     this.rows = rows;
     this.log = log;
@@ -67,11 +67,15 @@
     this.links = links;
     this.speeds = speeds;
     this.placer = placer;
-    this.recovered = recovered;
+    this.workersKnown = workersKnown;
   }
 
-  /** Submits a job, as {@link org.lovagerack.fleet.job.JobService#submit} says. */
-  void submit(Submission submission, Consumer<JobAnswer> callback) {
+  /**
+   * Submits a job, as {@link org.lovagerack.fleet.job.JobService#submit} says.
+   *
+   * @param arrivedNanos when the submission came, by the timer service's clock
+   */
+  void submit(Submission submission, long arrivedNanos, Consumer<JobAnswer> callback) {
     Job.Waiter waiter = new Job.Waiter(Optional.of(submission.entry()), callback);
     boolean bestEffort = submission.spec().bestEffort();
     Optional<Job> known = book.find(submission.jobId());
@@ -92,7 +96,7 @@
         new Job(
             new SubmittedJob(
                 submission.jobId(), submission.queue(), log.token(), submission.spec()),
-            parts.timer().nanoTime(),
+            arrivedNanos,
             log.token(),
             false,
             submission.repeated());
@@ -162,14 +166,14 @@
   }
 
   private Optional<JobAnswer.Refused> refusal(Job job) {
-    if (!recovered.getAsBoolean()) {
-      return Optional.of(
-          new JobAnswer.Refused(ErrorKind.NOT_READY, ShardTenure.RETRY_AFTER_OUTAGE));
-    }
     if (!job.bestEffort() && !(log.storeAvailable() && log.leaseValid())) {
       return Optional.of(
           new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, ShardTenure.RETRY_AFTER_OUTAGE));
     }
+    if (!workersKnown.getAsBoolean()) {
+      // The capacity shows only when the workers have reported; few jobs come until then.
+      return Optional.empty();
+    }
     double ownWork = job.tasks().stream().mapToDouble(TaskQueue::work).sum();
     double capacity = links.capacity(job.queue().service(), speeds);
     double spread = capacity <= 0 ? 0 : ownWork / capacity;
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -36,6 +36,12 @@
   /** A quarter of the silence that it looks for. */
   private static final Duration SWEEP_PERIOD = EntryContacts.SILENCE.dividedBy(4);
 
+  /**
+   * Healthy workers report within milliseconds of being asked, and a slow store lists them within
+   * half a second; those that have not reported by then do not count.
+   */
+  private static final Duration WORKERS_REPORT_WITHIN = Duration.ofMillis(500);
+
   /** What a caller is told while the store or the workers are away; outages last seconds. */
   static final Duration RETRY_AFTER_OUTAGE = Duration.ofSeconds(1);
 
@@ -53,7 +59,9 @@
   private final RunTracker runs;
   private final WorkerLinks links;
   private final JobIntake intake;
+  private final EarlySubmissions early;
   private boolean recovered;
+  private boolean workersKnown;
   private boolean closed;
 
   /**
@@ -94,7 +102,9 @@
             placer::request);
     placer.use(links);
     this.intake =
-        new JobIntake(parts, rows, log, book, ended, runs, links, speeds, placer, () -> recovered);
+        new JobIntake(
+            parts, rows, log, book, ended, runs, links, speeds, placer, () -> workersKnown);
+    this.early = new EarlySubmissions(parts.timer());
   }
 
   /**
@@ -136,6 +146,7 @@
     closed = true;
     links.close();
     log.close();
+    early.close();
     for (Job job : book.all()) {
       JobEnds.answer(job, new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
     }
@@ -158,11 +169,14 @@
         jobs.size());
     links.open();
     parts.timer().after(ORPHAN_GRACE, runs::stopOrphans);
+    parts.timer().after(WORKERS_REPORT_WITHIN, () -> workersKnown = true);
+    early.handOver(intake::submit);
     openGateIfAllJoined();
   }
 
   private void openGateIfAllJoined() {
     if (recovered && links.allJoined()) {
+      workersKnown = true;
       openGate("all workers have reported");
     }
   }
@@ -242,11 +256,16 @@
 
   @Override
   public void submit(Submission submission, Consumer<JobAnswer> callback) {
-    intake.submit(submission, callback);
+    if (recovered) {
+      intake.submit(submission, parts.timer().nanoTime(), callback);
+    } else {
+      early.hold(submission, callback);
+    }
   }
 
   @Override
   public void abandon(Submission submission) {
+    early.abandon(submission.jobId(), submission.entry());
     Optional<Job> job = book.find(submission.jobId()).filter(Job::bestEffort);
     if (job.isEmpty()) {
       return;
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -124,6 +124,39 @@
     assertThat(answers).containsExactly(COMPLETED);
   }
 
+  /** Taking the shard from a process that is gone lasts about a tenth of a second. */
+  @Test
+  void jobWaitsForTheSuccessorOfAProcessThatIsGone() {
+    vm.storeConnection.setFault(FakeStore.Fault.REFUSED);
+    peers.liveness = new PeerCalls.Gone();
+    ownerIs(1000, "first");
+    seat.ownersLoaded();
+    peers.script.add(UNREACHABLE);
+    peers.script.add(UNREACHABLE);
+    peers.script.add(UNREACHABLE);
+    submit(100);
+    run(160);
+    assertThat(answers).isEmpty();
+    peers.script.clear();
+    peers.script.add(COMPLETED);
+    ownerIs(2000, "second");
+
+    assertThat(answers).containsExactly(COMPLETED);
+  }
+
+  /** A repeated job waits until no worker can run it unseen, which this one needs not. */
+  @Test
+  void jobThatNoOwnerHasReceivedIsNewToTheSuccessorAndGoesThereAtOnce() {
+    vm.storeConnection.setFault(FakeStore.Fault.REFUSED);
+    ownerIs(1000, "");
+    submit(100);
+    run(100);
+    ownerIs(2000, "second");
+
+    assertThat(peers.submissions).hasSize(1);
+    assertThat(peers.submissions.getFirst().repeated()).isFalse();
+  }
+
   @Test
   void jobIsRefusedWhenNoSuccessorComesWhileItIsOfUse() {
     vm.storeConnection.setFault(FakeStore.Fault.REFUSED);
@@ -163,11 +196,18 @@
   }
 
   private static final class ScriptedPeers extends LivingPeers {
+    private Liveness liveness = new Alive(0);
     private final Deque<JobAnswer> script = new ArrayDeque<>();
     private final List<Submission> submissions = new ArrayList<>();
     private final List<String> abandoned = new ArrayList<>();
     private final List<Consumer<JobAnswer>> open = new ArrayList<>();
 
+    @Override
+    public void probe(
+        String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
+      callback.accept(liveness);
+    }
+
     @Override
     public JobService jobsAt(String address, long incarnation) {
       return new SilentJobs() {
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -76,6 +76,62 @@
     assertThat(fleet.observer.starts()).isEmpty();
   }
 
+  @Test
+  void jobThatComesWhileTheNewOwnerReadsIsServed() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    assertThat(owner.shard().ready()).isFalse();
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 3, 100, true));
+    run(300);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(3);
+  }
+
+  @Test
+  void jobThatComesBeforeTheWorkersHaveReportedIsServed() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    while (!owner.shard().ready()) {
+      fleet.timer.advance(Duration.ofNanos(100_000));
+    }
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 3, 100, true));
+    run(300);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+  }
+
+  /** The job's objective is 220 ms: with 100 ms of work, waiting helps for 560 ms. */
+  @Test
+  void jobIsRefusedWhenTheNewOwnerCannotReadWhileItIsOfUse() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    owner.vm().storeConnection.setFault(FakeStore.Fault.REFUSED);
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("job-1", 3, 100, true));
+    run(550);
+    assertThat(answers).isEmpty();
+    run(20);
+    owner.vm().storeConnection.setFault(FakeStore.Fault.NONE);
+    run(1000);
+
+    assertThat(answers)
+        .containsExactly(new JobAnswer.Refused(ErrorKind.NOT_READY, Duration.ofSeconds(1)));
+    assertThat(fleet.observer.starts()).isEmpty();
+  }
+
+  @Test
+  void jobWhoseClientLeavesWhileTheNewOwnerReadsDoesNotRun() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    Submission submission = FakeFleet.job("job-1", 3, 100, true);
+
+    List<JobAnswer> answers = owner.submit(submission);
+    owner.shard().jobs().abandon(submission);
+    run(1000);
+
+    assertThat(answers).isEmpty();
+    assertThat(fleet.observer.starts()).isEmpty();
+  }
+
   @Test
   void failedTaskIsTriedElsewhereAndTheJobFailsAfterItsAttempts() {
     fleet.workers.forEach(worker -> worker.setFailing(true));
