Keep new jobs from a silent owner, and serve a failure domain that is cut off within a second

Jobs that came meanwhile were sent to the silent owner, so the next one had to treat them as perhaps running and held them for 1.3 s, longer than short jobs are of use.

Change: probes go on while the shard is being taken, and follow each other without a pause after a silent one. A job is not sent to an owner that left a probe unanswered; it waits and is new to the next owner. Any job that no owner has received waits for as long as it can still end while of use, 1.5 s at most, because a takeover lasts for about a second.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -48,10 +48,6 @@
   private boolean taking;
   private boolean probing;
   private boolean retired;
-
-  /** Whether the process of the owner is known to have ended. */
-  private boolean gone;
-
   private int unanswered;
 
   ShardSeat(
@@ -139,14 +135,6 @@
     return owned != null;
   }
 
-  /**
-   * Returns whether a successor of the owner is on the way: the owner gave the shard up as planned,
-   * or its process is gone. That of an owner that is silent waits for its lease to end.
-   */
-  boolean changingHands() {
-    return owner != null && (owner.vacant() || gone || (retired && lease.isOwn(owner)));
-  }
-
   /** Returns the fencing token of this process as the owner, or 0. */
   long ownedToken() {
     return owned == null ? 0 : owned.token();
@@ -166,6 +154,14 @@
     return ownerAnswers || island.jobs().isPresent();
   }
 
+  /**
+   * Returns whether the owner has left a probe unanswered. A job that is not sent to it is new to
+   * the next owner and can start there at once.
+   */
+  boolean ownerSilent() {
+    return owned == null && unanswered > 0 && island.jobs().isEmpty();
+  }
+
   /** Adds a submission that is under way, to be told when the owner is replaced. */
   void addRelay(SubmissionRelay relay) {
     relays.add(relay);
@@ -200,7 +196,7 @@
   }
 
   private void checkOwner() {
-    if (owned != null || !loaded || probing || taking || retired) {
+    if (owned != null || !loaded || probing || retired) {
       return;
     }
     if (owner == null || owner.vacant()) {
@@ -235,8 +231,7 @@
               target.ownerAddress(), target.ownerIncarnation(), PROBE_TIMEOUT, island::learn);
         }
       }
-      case PeerCalls.Gone ended -> {
-        gone = true;
+      case PeerCalls.Gone gone -> {
         unanswered = CERTAINLY_UNANSWERED;
         LOG.write(LogEvent.OWNER_GONE, "shard", shard, "owner", target.ownerAddress());
         take();
@@ -245,13 +240,15 @@
         unanswered++;
         LOG.write(LogEvent.OWNER_SILENT, "shard", shard, "owner", target.ownerAddress());
         takeIfUnrenewed();
+        if (unanswered < CERTAINLY_UNANSWERED) {
+          checkOwner();
+        }
       }
     }
   }
 
   /** The owner is known to be alive, or is a new one. */
   private void reached() {
-    gone = false;
     unanswered = 0;
     island.reconnected();
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -25,10 +25,10 @@
   private static final Duration PAUSE = Duration.ofMillis(60);
 
   /**
-   * A job that was never received waits for half of its objective if the owner is silent: taking
-   * the shard from it lasts for about a second.
+   * Taking a shard from a silent owner lasts for two probes, the lease and the reads of the next
+   * owner, about a second; without an owner after this time, none is on the way.
    */
-  private static final int PART_WITHOUT_OWNER = 2;
+  private static final Duration LONGEST_TAKEOVER = Duration.ofMillis(1500);
 
   private static final EventLog LOG = new EventLog(SubmissionRelay.class);
 
@@ -81,7 +81,7 @@
       return;
     }
     Optional<JobService> owner = seat.jobs();
-    if (owner.isEmpty()) {
+    if (owner.isEmpty() || (seat.ownerSilent() && !submission.repeated())) {
       tryAgain(OwnerFailures.NO_OWNER);
       return;
     }
@@ -130,11 +130,8 @@
     if (submission.repeated()) {
       return Objective.useful(objective);
     }
-    if (seat.changingHands()) {
-      // Another owner follows within about a tenth of a second.
-      return Objective.timeToStart(objective, submission.spec());
-    }
-    return objective.dividedBy(PART_WITHOUT_OWNER);
+    Duration ofUse = Objective.timeToStart(objective, submission.spec());
+    return ofUse.compareTo(LONGEST_TAKEOVER) < 0 ? ofUse : LONGEST_TAKEOVER;
   }
 
   /** Returns whether a refusal was decided by this VM; the owner writes its own. */
