Count only the work that is placed before a job against it, and give up what waits too long

Most were short jobs with an objective of 0.16 s; the waiting work was that of long ones, which are placed after them, because the queue is ordered by the end of the objective.

Change: Admission is given the waiting work before the job in the order of the queue; jobs that can no longer meet their objective are placed last and do not count. The event of an accepted job no longer says that it was stored, which was wrong for best-effort jobs.

Ruled out: refusing long jobs in a burst beforehand; whether short ones will come is not known.

Tests: two in ShardTenureTest play the load; both fail without the change.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Admission.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Admission.java
@@ -17,7 +17,7 @@
   /**
    * Decides on a job.
    *
-   * @param queuedWork work of the jobs that would run before it, core-seconds
+   * @param queuedWork work that waits and would be placed before it, core-seconds
    * @param capacity cores of the workers, weighted by their speeds
    * @param ownDuration expected duration of the job itself
    * @param objective objective of the job
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -136,6 +136,16 @@
     return started;
   }
 
+  /** Returns whether a run of a task was ever ordered, or found at work. */
+  boolean touched() {
+    return started || tasks.stream().anyMatch(task -> task.run() != null);
+  }
+
+  /** Returns whether the job, if it started now, would end too late to be of use. */
+  boolean tooLateToStart(long nowNanos) {
+    return nowNanos - acceptedNanos > Objective.timeToStart(objective, submitted.spec()).toNanos();
+  }
+
   void markStarted() {
     started = true;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -102,7 +102,7 @@
             submission.repeated());
     Optional<JobAnswer.Refused> refusal = refusal(job);
     if (refusal.isPresent()) {
-      refuse(job, refusal.get(), "waiting work " + book.queue().waitingWork());
+      refuse(job, refusal.get(), "work before it " + workBefore(job));
       callback.accept(refusal.get());
       return;
     }
@@ -117,6 +117,22 @@
     }
   }
 
+  /**
+   * Refuses a job of best effort that has waited until it could no longer be of use, without a run.
+   */
+  void giveUp(Job job) {
+    book.remove(job);
+    job.phase(Job.Phase.ENDED);
+    JobAnswer.Refused refusal =
+        new JobAnswer.Refused(ErrorKind.OVERLOADED, ShardTenure.RETRY_AFTER_OUTAGE);
+    refuse(
+        job,
+        refusal,
+        "no worker had room for "
+            + Duration.ofNanos(parts.timer().nanoTime() - job.acceptedNanos()));
+    JobEnds.answer(job, refusal);
+  }
+
   private void store(Job job) {
     log.append(
         new CommitEntry(
@@ -179,13 +195,17 @@
     double spread = capacity <= 0 ? 0 : ownWork / capacity;
     Duration ownDuration =
         Duration.ofNanos((long) Math.max((double) job.estimatedChain().toNanos(), spread * 1e9));
-    return Admission.decide(book.queue().waitingWork(), capacity, ownDuration, job.objective())
+    return Admission.decide(workBefore(job), capacity, ownDuration, job.objective())
         .map(
             retryAfter ->
                 new JobAnswer.Refused(
                     capacity <= 0 ? ErrorKind.NO_UPSTREAM : ErrorKind.OVERLOADED, retryAfter));
   }
 
+  private double workBefore(Job job) {
+    return book.queue().workBefore(job, parts.timer().nanoTime());
+  }
+
   private final class StoredListener implements CommitEntry.Listener {
     private final Job job;
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -233,7 +233,10 @@
         && parts.timer().nanoTime() - job.acceptedNanos() < JobIntake.REPEAT_DELAY.toNanos();
   }
 
-  /** Ends jobs of best effort whose clients cannot be answered any more. */
+  /**
+   * Ends jobs of best effort whose clients cannot be answered any more, or that no worker had room
+   * for.
+   */
   private void sweep() {
     if (closed) {
       return;
@@ -245,6 +248,8 @@
                 .removeIf(waiter -> waiter.entry().filter(parts.contacts()::inContact).isEmpty());
         if (changed && job.waiting().isEmpty()) {
           ends.discard(job, "the entry VM of its client is silent");
+        } else if (!job.touched() && job.tooLateToStart(parts.timer().nanoTime())) {
+          intake.giveUp(job);
         }
       }
     }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/TaskQueue.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/TaskQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.NavigableSet;
 import java.util.TreeSet;
 
 /**
@@ -14,7 +15,7 @@
   private static final Comparator<Job> ORDER =
       Comparator.comparingLong(TaskQueue::due).thenComparing(Job::id);
 
-  private final TreeSet<Job> jobs = new TreeSet<>(ORDER);
+  private final NavigableSet<Job> jobs = new TreeSet<>(ORDER);
 
   void add(Job job) {
     jobs.add(job);
@@ -29,18 +30,23 @@
     List<Job> inTime = new ArrayList<>();
     List<Job> late = new ArrayList<>();
     for (Job job : jobs) {
-      (due(job) - job.estimatedChain().toNanos() - nowNanos >= 0 ? inTime : late).add(job);
+      (canMeetObjective(job, nowNanos) ? inTime : late).add(job);
     }
     late.sort(Comparator.comparingInt((Job job) -> job.queue().priority()).thenComparing(ORDER));
     inTime.addAll(late);
     return inTime;
   }
 
-  /** Returns the work that waits, core-seconds. */
-  double waitingWork() {
+  /**
+   * Returns the waiting work that is placed before a job that can still meet its objective,
+   * core-seconds.
+   */
+  double workBefore(Job job, long nowNanos) {
     double work = 0;
-    for (Job job : jobs) {
-      work += waitingWork(job);
+    for (Job earlier : jobs.headSet(job)) {
+      if (canMeetObjective(earlier, nowNanos)) {
+        work += waitingWork(earlier);
+      }
     }
     return work;
   }
@@ -63,6 +69,10 @@
         / 1e9;
   }
 
+  private static boolean canMeetObjective(Job job, long nowNanos) {
+    return due(job) - job.estimatedChain().toNanos() - nowNanos >= 0;
+  }
+
   private static long due(Job job) {
     return job.acceptedNanos() + job.objective().toNanos();
   }
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardTenureTest.java
@@ -339,6 +339,44 @@
     assertThat(refused.retryAfter()).isPositive();
   }
 
+  /**
+   * A burst of long jobs fills the queue with five times what the workers do in the useful time of
+   * a short one. The short one is placed before them.
+   */
+  @Test
+  void shortJobIsNotRefusedForLongJobsThatStandBehindIt() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    for (int job = 0; job < 12; job++) {
+      owner.submit(FakeFleet.job("long-" + job, 8, 900, true));
+    }
+
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("short", 4, 100, true));
+    run(400);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+  }
+
+  /** Tasks take twenty times as long as their callers said, so the queue does not move. */
+  @Test
+  void jobThatFindsNoRoomWhileItIsOfUseIsRefusedAndNeverRuns() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(2)));
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    List<JobAnswer> first = owner.submit(FakeFleet.job("first", 8, 100, true));
+    run(50);
+    List<JobAnswer> second = owner.submit(FakeFleet.job("second", 4, 100, true));
+    run(550);
+    assertThat(second).isEmpty();
+    run(300);
+    assertThat(second)
+        .containsExactly(new JobAnswer.Refused(ErrorKind.OVERLOADED, Duration.ofSeconds(1)));
+    run(3000);
+
+    assertThat(first).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(8).noneMatch(start -> start.contains("second"));
+  }
+
   @Test
   void suspendedOwnerDoesNotTrustItsLeaseWhenItWakes() {
     OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -16,7 +16,7 @@
   UNEXPECTED_ERROR(1099, Severity.ERROR, "unexpected error"),
   SUBMISSION_REFUSED(2001, Severity.DEBUG, "submission refused"),
   JOB_FAILED(2002, Severity.DEBUG, "job failed"),
-  JOB_ACCEPTED(2101, Severity.INFO, "job stored and accepted"),
+  JOB_ACCEPTED(2101, Severity.INFO, "job accepted"),
   JOB_REFUSED(2102, Severity.INFO, "job refused, not run"),
   JOB_ENDED(2103, Severity.INFO, "job ended"),
   REQUEST_REJECTED(2104, Severity.INFO, "request of a client rejected"),
