Do not send a job whose client has left

Cause, found by reading the relay after jobs had begun to wait for owners: a client that gave up was reported to the owner of that moment only. A relay that waited for an owner, or between two attempts, sent the job afterwards, and it ran for nobody.

Change: the client's leaving ends the relay of its submission, which tells the owner that has the job, if one has.

Ruled out: an effect on the answer, which the closed connection cannot take. Tests: two in SubmissionRelayTest; the first fails without the change because the job is sent to the second owner.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -189,7 +189,7 @@
 
   @Override
   public void abandon(Submission submission) {
-    seat(submission.jobId()).flatMap(ShardSeat::jobs).ifPresent(jobs -> jobs.abandon(submission));
+    seat(submission.jobId()).ifPresent(seat -> seat.abandon(submission));
   }
 
   @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.shard.LeaseRecord;
 import org.lovagerack.fleet.shard.OwnedShard;
 import org.lovagerack.fleet.shard.ShardLease;
@@ -171,6 +172,13 @@
     relays.remove(relay);
   }
 
+  /** Ends a submission whose client is gone. */
+  void abandon(Submission submission) {
+    List.copyOf(relays).stream()
+        .filter(relay -> relay.isFor(submission))
+        .forEach(SubmissionRelay::abandon);
+  }
+
   private void ownerReplaced() {
     List.copyOf(relays).forEach(SubmissionRelay::ownerReplaced);
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -35,6 +35,7 @@
   private final TimerService timer;
   private final ShardSeat seat;
   private final Consumer<JobAnswer> callback;
+  private final Submission original;
   private final long startedNanos;
   private final Duration objective;
   private Submission submission;
@@ -49,6 +50,7 @@
       TimerService timer, ShardSeat seat, Submission submission, Consumer<JobAnswer> callback) {
     this.timer = timer;
     this.seat = seat;
+    this.original = submission;
     this.submission = submission;
     this.callback = callback;
     this.startedNanos = timer.nanoTime();
@@ -76,6 +78,18 @@
     send();
   }
 
+  /** Returns whether the relay was created for a submission. */
+  boolean isFor(Submission other) {
+    return original.equals(other);
+  }
+
+  /** Makes no further attempt, because the client is gone. */
+  void abandon() {
+    finished = true;
+    seat.removeRelay(this);
+    lastOwner.ifPresent(owner -> owner.abandon(submission));
+  }
+
   private void send() {
     if (finished) {
       return;
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -57,9 +57,10 @@
             new RowKey(ShardRows.OWNER_TABLE, "shard-0", "shard"), record.encode(), token, false));
   }
 
-  private void submit(long estimatedMillis) {
+  private Submission submit(long estimatedMillis) {
     Submission submission = FakeFleet.job("job-1", 1, estimatedMillis, true);
     new SubmissionRelay(fleet.timer, seat, submission, answers::add).start();
+    return submission;
   }
 
   private void run(long millis) {
@@ -229,6 +230,30 @@
     assertThat(peers.abandoned).containsExactly("first");
   }
 
+  @Test
+  void jobWhoseClientLeavesWhileItWaitsIsNeverSent() {
+    vm.storeConnection.setFault(FakeStore.Fault.REFUSED);
+    ownerIs(1000, "");
+    Submission submission = submit(100);
+    seat.abandon(submission);
+    ownerIs(2000, "second");
+    run(500);
+
+    assertThat(peers.submissions).isEmpty();
+    assertThat(answers).isEmpty();
+  }
+
+  @Test
+  void jobWhoseClientLeavesIsAbandonedAtItsOwnerOnly() {
+    ownerIs(1000, "first");
+    seat.abandon(submit(100));
+    ownerIs(2000, "second");
+    run(500);
+
+    assertThat(peers.submissions).hasSize(1);
+    assertThat(peers.abandoned).containsExactly("first");
+  }
+
   @Test
   void answerThatIsReadyIsDeliveredAlsoFromAReplacedOwner() {
     ownerIs(1000, "first");
