Tell entry VMs which jobs have certainly not run when an owner goes

Cause: an owner that gives its shard up answered every best-effort job with an unknown outcome. The next owner then holds jobs back that nobody had started, until all workers have reported, or 1.3 s if one of them does not.

Change: a job without any run, that no earlier owner can have started either, is refused as not received, and is new to the next owner. When the patience of a relay is over, its client gets one kind of refusal, with Retry-After and a line in the log; after an owner that went it would have been a bare 502.

Ruled out: answering so for kept jobs; they are stored and go on by themselves. Tests: OwnerChangeTest.ownerThatGoesSaysWhichJobsHaveCertainlyNotRun, which fails without the change.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -135,7 +135,7 @@
             }
           });
     } else {
-      finish(last);
+      finish(last instanceof JobAnswer.Refused ? OwnerFailures.NO_OWNER : last);
     }
   }
 
@@ -148,16 +148,11 @@
     return ofUse.compareTo(LONGEST_TAKEOVER) < 0 ? ofUse : LONGEST_TAKEOVER;
   }
 
-  /** Returns whether a refusal was decided by this VM; the owner writes its own. */
-  private static boolean refusedHere(ErrorKind kind) {
-    return kind == ErrorKind.NOT_READY || kind == ErrorKind.OWNER_UNREACHABLE;
-  }
-
   /** An owner that refuses a job does not know whether an earlier one has started it. */
   private void finish(JobAnswer answer) {
     finished = true;
     seat.removeRelay(this);
-    if (answer instanceof JobAnswer.Refused refused && refusedHere(refused.kind())) {
+    if (answer.equals(OwnerFailures.NO_OWNER)) {
       LOG.write(
           LogEvent.JOB_REFUSED,
           "job",
@@ -165,7 +160,7 @@
           "queue",
           submission.queue().name(),
           "kind",
-          refused.kind(),
+          ErrorKind.NOT_READY,
           "reason",
           "no owner took the job",
           "after",
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -136,9 +136,12 @@
     return started;
   }
 
-  /** Returns whether a run of a task was ever ordered, or found at work. */
-  boolean touched() {
-    return started || tasks.stream().anyMatch(task -> task.run() != null);
+  /** Returns whether no owner can have ordered a run of a task. */
+  boolean certainlyNotRun() {
+    return !recovered
+        && !repeated
+        && !started
+        && tasks.stream().allMatch(task -> task.run() == null);
   }
 
   /** Returns whether the job, if it started now, would end too late to be of use. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -148,7 +148,12 @@
     log.close();
     early.close();
     for (Job job : book.all()) {
-      JobEnds.answer(job, new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+      // The next owner need not look for runs of a job that certainly has none.
+      JobEnds.answer(
+          job,
+          job.bestEffort() && job.certainlyNotRun()
+              ? new JobAnswer.Refused(ErrorKind.OWNER_LOST, Duration.ZERO)
+              : new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
     }
   }
 
@@ -248,7 +253,7 @@
                 .removeIf(waiter -> waiter.entry().filter(parts.contacts()::inContact).isEmpty());
         if (changed && job.waiting().isEmpty()) {
           ends.discard(job, "the entry VM of its client is silent");
-        } else if (!job.touched() && job.tooLateToStart(parts.timer().nanoTime())) {
+        } else if (job.certainlyNotRun() && job.tooLateToStart(parts.timer().nanoTime())) {
           intake.giveUp(job);
         }
       }
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
@@ -17,6 +17,7 @@
 import org.lovagerack.fleet.support.FakeWorker;
 import org.lovagerack.fleet.support.OwnedVm;
 import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.foundation.error.ErrorKind;
 
 /** Plays jobs on one owner after another, and checks that no task runs beside itself. */
 final class OwnerChangeTest {
@@ -83,6 +84,22 @@
     assertThat(fleet.observer.starts()).hasSize(4);
   }
 
+  /** Eight tasks fill the four workers, so the second job has no run when the owner goes. */
+  @Test
+  void ownerThatGoesSaysWhichJobsHaveCertainlyNotRun() {
+    OwnedVm owner = fleet.vm("first").takeShard().orElseThrow();
+    run(50);
+    List<JobAnswer> running = owner.submit(FakeFleet.job("running", 8, 100, true));
+    List<JobAnswer> waiting = owner.submit(FakeFleet.job("waiting", 2, 100, true));
+    List<JobAnswer> repeated = owner.submit(FakeFleet.job("repeated", 2, 100, true).asRepeated());
+    run(20);
+    owner.shard().close();
+
+    assertThat(running).containsExactly(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+    assertThat(waiting).containsExactly(new JobAnswer.Refused(ErrorKind.OWNER_LOST, Duration.ZERO));
+    assertThat(repeated).containsExactly(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+  }
+
   @Test
   void jobThatComesWhenItsOldRunsAreBeingStoppedWaitsForTheirEnd() {
     fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
