Keep an entry VM that stops in contact with the owners of its jobs

Cause, found by reading: a seat stopped its probes when its VM began to stop. Owners start no task for an entry VM that they have not heard from for 600 ms and drop its jobs after 900 ms, so jobs that were still at work for clients of a stopping VM were stopped, and their clients got a 504 at the end of the stop, four seconds later. The shards that the VM had owned were concerned as well, because their jobs go to the next owner.

Change: probes go on while the VM stops; it still takes no shard.

Ruled out: an answer that says otherwise than "outcome unknown"; nobody waits for a dropped job at its owner. Tests: ShardSeatTest.vmThatStopsStaysInContactWithTheOwner fails without the change; vmThatStopsTakesNoShard guards the other side.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -204,7 +204,7 @@
   }
 
   private void checkOwner() {
-    if (owned != null || !loaded || probing || retired) {
+    if (owned != null || !loaded || probing) {
       return;
     }
     if (owner == null || owner.vacant()) {
@@ -224,7 +224,7 @@
         PROBE_TIMEOUT,
         liveness -> {
           probing = false;
-          if (owned == null && probed.equals(owner) && !retired) {
+          if (owned == null && probed.equals(owner)) {
             probed(probed, liveness);
           }
         });
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EarlySubmissions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EarlySubmissions.java
@@ -22,15 +22,6 @@
  */
 final class EarlySubmissions {
 
-  private static final EventLog LOG = new EventLog(EarlySubmissions.class);
-
-  private final TimerService timer;
-  private final Set<Held> held = new LinkedHashSet<>();
-
-  EarlySubmissions(TimerService timer) {
-    this.timer = timer;
-  }
-
   /** Takes what has been held. */
   interface Intake {
     /**
@@ -41,6 +32,15 @@
     void submit(Submission submission, long arrivedNanos, Consumer<JobAnswer> callback);
   }
 
+  private static final EventLog LOG = new EventLog(EarlySubmissions.class);
+
+  private final TimerService timer;
+  private final Set<Held> held = new LinkedHashSet<>();
+
+  EarlySubmissions(TimerService timer) {
+    this.timer = timer;
+  }
+
   /** Holds a submission until it is handed over, abandoned, or of no more use. */
   void hold(Submission submission, Consumer<JobAnswer> callback) {
     new Held(submission, callback);
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/ShardSeatTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/ShardSeatTest.java
@@ -84,8 +84,42 @@
     assertThat(seat.owned()).isFalse();
   }
 
+  /**
+   * The owner drops the jobs of an entry VM that is silent for 900 ms, and this one still has
+   * connections of clients whose jobs are at work.
+   */
+  @Test
+  void vmThatStopsStaysInContactWithTheOwner() {
+    ownerIs(1000, "owner");
+    seat.ownersLoaded();
+    seat.start();
+    run(1000);
+    seat.retire(() -> {});
+    peers.probes = 0;
+    run(3000);
+
+    assertThat(peers.probes).isGreaterThanOrEqualTo(9);
+    assertThat(seat.owned()).isFalse();
+  }
+
+  @Test
+  void vmThatStopsTakesNoShard() {
+    ownerIs(1000, "owner");
+    seat.ownersLoaded();
+    seat.start();
+    seat.retire(() -> {});
+    peers.silent = true;
+    run(3000);
+    ownerIs(2000, "");
+    run(3000);
+
+    assertThat(seat.owned()).isFalse();
+    assertThat(vm.storeConnection.commits()).isZero();
+  }
+
   private final class SilentOwner extends LivingPeers {
     private boolean silent;
+    private int probes;
 
     @Override
     public JobService jobsAt(String address, long incarnation) {
@@ -95,6 +129,7 @@
     @Override
     public void probe(
         String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
+      probes++;
       if (silent) {
         fleet.timer.after(timeout, () -> callback.accept(new Silent()));
       } else {
