Decide outside the adapter which jobs a stopping VM takes, and take more of them

Cause: ClientInterface, which is to translate only, refused a job during a stop unless three times its objective was left.

Change: StopWindow in fleet decides; a job is taken if its objective is left.

Ruled out: taking every job; one that is at work at the end gets an unknown outcome, and its client can submit it elsewhere at once instead.

--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -13,6 +13,7 @@
 import org.lovagerack.eventloop.HttpCaller;
 import org.lovagerack.fleet.configuration.ConfigurationHolder;
 import org.lovagerack.fleet.entry.JobRouter;
+import org.lovagerack.fleet.entry.StopWindow;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.shard.EntryContacts;
@@ -71,6 +72,7 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final JobRouter router;
   private final TableFollower configurationFollower;
+  private final StopWindow stopWindow;
   private final ClientInterface clients;
   private final PeerServer peers;
   private HttpServer clientServer;
@@ -135,7 +137,8 @@
             vm,
             settings.processorShare(),
             settings.workersPerShard());
-    clients = new ClientInterface(timer, configuration, router, self);
+    stopWindow = new StopWindow(timer);
+    clients = new ClientInterface(timer, configuration, router, self, stopWindow);
     peers = new PeerServer(router, contacts, incarnation);
   }
 
@@ -162,7 +165,7 @@
     Promise<Void> stopped = Promise.promise();
     stopping = true;
     Duration serving = settings.stopWithin().minus(LAST_MOMENTS);
-    clients.stopAfter(serving);
+    stopWindow.begin(serving);
     LOG.write(LogEvent.DRAIN_STARTED, "shards", router.ownedShards());
     router.retire(() -> LOG.write(LogEvent.DRAIN_FINISHED));
     timer.after(
