Abandon a job at its owner when its client is told that the outcome is unknown

The client submits it again 1.3 s later, and if the shard has another owner by then, for instance because an island has ended, that one knows nothing of the run.

Change: the relay abandons the job where it may be. The jobs of clients that leave were abandoned already.

Tests: SubmissionRelayTest.jobIsAbandonedAtItsOwnerWhenItsOutcomeStaysUnknown fails without the change.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -152,6 +152,10 @@
   private void finish(JobAnswer answer) {
     finished = true;
     seat.removeRelay(this);
+    if (answer instanceof JobAnswer.Unresolved) {
+      // The client may submit the job again, to another owner, which must not find it at work here.
+      lastOwner.ifPresent(owner -> owner.abandon(submission));
+    }
     if (answer.equals(OwnerFailures.NO_OWNER)) {
       LOG.write(
           LogEvent.JOB_REFUSED,
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -243,6 +243,20 @@
     assertThat(answers).isEmpty();
   }
 
+  /** Its client submits it again, perhaps to another owner, 1.3 s after an unknown outcome. */
+  @Test
+  void jobIsAbandonedAtItsOwnerWhenItsOutcomeStaysUnknown() {
+    ownerIs(1000, "first");
+    for (int call = 0; call < 20; call++) {
+      peers.script.add(BROKEN);
+    }
+    submit(100);
+    run(1000);
+
+    assertThat(answers).containsExactly(BROKEN);
+    assertThat(peers.abandoned).containsExactly("first");
+  }
+
   @Test
   void jobWhoseClientLeavesIsAbandonedAtItsOwnerOnly() {
     ownerIs(1000, "first");
