Withdraw submissions that a partition holds up

Change: HttpCaller resets connections that it closes (SO_LINGER 0), and a call can be withdrawn. PeerClient withdraws a submission when the owner does not answer that the job is abandoned; if it answers, the submission's own answer is still delivered.

Ruled out: the wait of repeated jobs (they are held for 1.3 s, as meant), and the fencing tokens (an island ends under its own, and the owner had not yet raised its token). Left: an owner that is frozen, not cut off, may have a submission in its own buffers.

--- a/eventloop/src/main/java/org/lovagerack/eventloop/HttpCaller.java
+++ b/eventloop/src/main/java/org/lovagerack/eventloop/HttpCaller.java
@@ -35,6 +35,9 @@
         vertx.createHttpClient(
             new HttpClientOptions()
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                // A connection that is closed is reset: a request that was held up by a partition
+                // must not arrive when its caller has long given it up.
+                .setSoLinger(0)
                 .setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
             new PoolOptions().setHttp1MaxSize(connectionsPerAddress).setEventLoopSize(0));
   }
@@ -45,8 +48,10 @@
    * @param address IP number and port
    * @param timeout time until a whole response must have arrived
    * @param callback receives the one result
+   * @return withdraws the call if it has no result yet: the callback receives none, and a request
+   *     that has not arrived does not arrive later
    */
-  public void call(
+  public Runnable call(
       HttpMethod method,
       String address,
       String uri,
@@ -60,6 +65,7 @@
         .request(options(method, address, uri, headers))
         .onSuccess(request -> call.send(request, body))
         .onFailure(cause -> call.finish(new HttpReply.NotSent(String.valueOf(cause.getMessage()))));
+    return call::withdraw;
   }
 
   /**
@@ -113,6 +119,17 @@
       finish(new HttpReply.NoResponse(String.valueOf(cause.getMessage())));
     }
 
+    private void withdraw() {
+      if (finished) {
+        return;
+      }
+      finished = true;
+      vertx.cancelTimer(timer);
+      if (request != null) {
+        request.reset();
+      }
+    }
+
     private void expire() {
       if (finished) {
         return;
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -119,6 +119,9 @@
     private final String address;
     private final long incarnation;
 
+    /** Withdraws the last submission. */
+    private Runnable withdrawal = () -> {};
+
     RemoteJobs(String address, long incarnation) {
       this.address = address;
       this.incarnation = incarnation;
@@ -129,13 +132,14 @@
       Map<String, String> headers = new HashMap<>(headers(incarnation));
       headers.put(PeerProtocol.PATIENCE_HEADER, Long.toString(submission.patience().toMillis()));
       headers.put(PeerProtocol.REPEATED_HEADER, Boolean.toString(submission.repeated()));
-      call(
-          HttpMethod.PUT,
-          PeerProtocol.JOBS_PATH + submission.jobId(),
-          headers,
-          body(submission),
-          submission.patience(),
-          callback);
+      withdrawal =
+          call(
+              HttpMethod.PUT,
+              PeerProtocol.JOBS_PATH + submission.jobId(),
+              headers,
+              body(submission),
+              submission.patience(),
+              callback);
     }
 
     @Override
@@ -146,7 +150,12 @@
           headers(incarnation),
           body(submission),
           QUERY_TIMEOUT,
-          answer -> {});
+          answer -> {
+            // A process that is cut off would receive the submission at the end of the cut.
+            if (!(answer instanceof JobAnswer.Cancelled)) {
+              withdrawal.run();
+            }
+          });
     }
 
     private static Buffer body(Submission submission) {
@@ -180,14 +189,14 @@
       call(method, path, headers(incarnation), Buffer.buffer(), QUERY_TIMEOUT, callback);
     }
 
-    private void call(
+    private Runnable call(
         HttpMethod method,
         String path,
         Map<String, String> headers,
         Buffer body,
         Duration timeout,
         Consumer<JobAnswer> callback) {
-      caller.call(
+      return caller.call(
           method, address, path, headers, body, timeout, reply -> callback.accept(answer(reply)));
     }
 
