Let the connection close before the tests of HttpCaller read

The test began to read before the event loop had run the withdrawal, so the rest of the body arrived in time, which is right.

Change: both tests wait for tasks of the event loop before they read. The check is the same; it still fails without SO_LINGER 0.

--- a/eventloop/src/test/java/org/lovagerack/eventloop/HttpCallerTest.java
+++ b/eventloop/src/test/java/org/lovagerack/eventloop/HttpCallerTest.java
@@ -31,6 +31,9 @@
   /** Fits into the buffer of the sender's system. */
   private static final int BODY_BYTES = 48 << 10;
 
+  /** Closing takes one or two tasks of the event loop, each of which may add another one. */
+  private static final int TURNS_TO_CLOSE = 20;
+
   private final Vertx vertx = Vertx.vertx();
   private final Context context = vertx.getOrCreateContext();
 
@@ -47,6 +50,7 @@
       try (Socket accepted = server.accept()) {
         assertThat(reply.get(HANG_SECONDS, TimeUnit.SECONDS))
             .isInstanceOf(HttpReply.NoResponse.class);
+        afterItsTasks();
         assertThat(bytesThatArrive(accepted)).isLessThan(BODY_BYTES);
       }
     }
@@ -62,6 +66,7 @@
           Thread.onSpinWait();
         }
         context.runOnContext(ignored -> withdrawal.run());
+        afterItsTasks();
 
         assertThat(bytesThatArrive(accepted)).isLessThan(BODY_BYTES);
         assertThat(reply).isNotDone();
@@ -94,6 +99,15 @@
     return withdrawal.get(HANG_SECONDS, TimeUnit.SECONDS);
   }
 
+  /** Waits until the event loop has closed the connection, so that reading does not make room. */
+  private void afterItsTasks() throws Exception {
+    for (int turn = 0; turn < TURNS_TO_CLOSE; turn++) {
+      CompletableFuture<Void> ran = new CompletableFuture<>();
+      context.runOnContext(ignored -> ran.complete(null));
+      ran.get(HANG_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
   private static long bytesThatArrive(Socket accepted) {
     long bytes = 0;
     byte[] buffer = new byte[1 << 16];
