--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardSeat.java
@@ -100,6 +100,7 @@
     if (owned != null && !lease.isOwn(stored) && stored.token() >= owned.token()) {
       dropOwned();
     }
+    // The relays went over to this process when it took the shard.
     boolean ownTenure = owned != null && lease.isOwn(stored);
     if (replaced && !ownTenure) {
       ownerReplaced();
@@ -203,6 +204,7 @@
         });
   }
 
+  /** Probes the owner; a VM that stops does so too, because owners drop the jobs of silent VMs. */
   private void checkOwner() {
     if (owned != null || !loaded || probing) {
       return;
