Log through the logging of the JDK behind the interface of Log4j 2

Cause: the core of Log4j 2 loads all its plugins at each start, some from its jar, and holds memory that nothing uses. Lines beyond the bound were dropped without a trace.

Change: log4j-to-jul in place of log4j-core in lovagerack-node, with a manager of ours that reads no file and does not end the log before the planned stop has written its last events; a bounded queue and a budget of lines, and event 1008 that counts what was dropped.

--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -13,6 +13,8 @@
   SETTINGS_REJECTED(1005, Severity.ERROR, "settings rejected"),
   PAUSE_DETECTED(1006, Severity.WARN, "process was paused"),
   SETTINGS_RELOADED(1007, Severity.INFO, "settings file read again"),
+  LOG_LINES_DROPPED(1008, Severity.WARN, "log lines dropped to bound the log"),
+  WARM_UP_ENDED(1009, Severity.INFO, "warm-up ended"),
   UNEXPECTED_ERROR(1099, Severity.ERROR, "unexpected error"),
   SUBMISSION_REFUSED(2001, Severity.DEBUG, "submission refused"),
   JOB_FAILED(2002, Severity.DEBUG, "job failed"),
--- a/node/src/main/java/org/lovagerack/node/NodeMain.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMain.java
@@ -12,7 +12,6 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
-import org.apache.logging.log4j.LogManager;
 import org.lovagerack.eventloop.EventLoopTimer;
 import org.lovagerack.eventloop.StopHook;
 import org.lovagerack.foundation.error.ErrorKind;
@@ -121,7 +120,7 @@
                   node::stop,
                   () -> {
                     log.write(LogEvent.DAEMON_STOPPED);
-                    LogManager.shutdown();
+                    NodeLogging.finish();
                   });
               log.write(
                   LogEvent.DAEMON_STARTED,
