Refuse late jobs while others wait that can still be in time

Cause: jobs that can no longer meet their objectives stand behind all that can, so under a load that stays above the capacity they wait to the end and are refused then.

Change: Crowding, a decision of its own: after two looks in a row at the queue, 225 ms apart, that find jobs waiting that can be in time, jobs that cannot and that have not started are refused.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardTenure.java
@@ -60,6 +60,7 @@
   private final WorkerLinks links;
   private final JobIntake intake;
   private final EarlySubmissions early;
+  private final Crowding crowding = new Crowding();
   private boolean recovered;
   private boolean workersKnown;
   private boolean closed;
@@ -246,6 +247,10 @@
     if (closed) {
       return;
     }
+    long now = parts.timer().nanoTime();
+    crowding.look(
+        book.queue().inOrder(now).stream()
+            .anyMatch(job -> TaskQueue.canMeetObjective(job, now) && mayStart(job)));
     for (Job job : book.all()) {
       if (job.bestEffort()) {
         boolean changed =
@@ -253,7 +258,9 @@
                 .removeIf(waiter -> waiter.entry().filter(parts.contacts()::inContact).isEmpty());
         if (changed && job.waiting().isEmpty()) {
           ends.discard(job, "the entry VM of its client is silent");
-        } else if (job.certainlyNotRun() && job.tooLateToStart(parts.timer().nanoTime())) {
+        } else if (job.certainlyNotRun()
+            && crowding.waitsInVain(
+                TaskQueue.canMeetObjective(job, now), !job.tooLateToStart(now))) {
           intake.giveUp(job);
         }
       }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/TaskQueue.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/TaskQueue.java
@@ -69,7 +69,8 @@
         / 1e9;
   }
 
-  private static boolean canMeetObjective(Job job, long nowNanos) {
+  /** Returns whether a job would meet its objective if it started now. */
+  static boolean canMeetObjective(Job job, long nowNanos) {
     return due(job) - job.estimatedChain().toNanos() - nowNanos >= 0;
   }
 
