--- a/node/src/main/java/org/lovagerack/node/WarmUp.java
+++ b/node/src/main/java/org/lovagerack/node/WarmUp.java
@@ -53,10 +53,11 @@
   private static final Duration CHECK = Duration.ofMillis(100);
 
   /**
-   * Checks in a row that find an owner for every shard, together a second: after a loss of power,
-   * the store names owners that are gone, and the processor is needed for their shards.
+   * Checks in a row that find an owner for every shard, together two seconds: after a loss of
+   * power, the store names owners that are gone, and then the processor is needed for the jobs that
+   * have waited.
    */
-  private static final int CHECKS_IN_A_ROW = 10;
+  private static final int CHECKS_IN_A_ROW = 20;
 
   /** Not a shard's; it shows in the log only. */
   private static final ShardRows ROWS = new ShardRows("warm-up");
--- a/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
+++ b/node/src/test/java/org/lovagerack/node/EntryNodeTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.lovagerack.eventloop.EventLoopTimer;
 import org.lovagerack.node.settings.NodeSettings;
 import org.lovagerack.platform.standin.FreePort;
@@ -252,6 +253,7 @@
 
   /** An owner whose code has not run before answers late for its first seconds. */
   @Test
+  @Timeout(HANG_SECONDS)
   void vmThatOwnsNothingExercisesTheCodeOfAnOwner() throws Exception {
     configure(1, 3);
     StringBuilder page = new StringBuilder();
