Write the last log line of a failed start, and forget addresses without connections

Found by reading the change: the line that says why a start failed was left in the queue when the process ended; pools of addresses that are gone stayed in memory; OwnedShardFactory copied its parts in two places.

Not shown by a run: none of the three has been seen to fail.

--- a/eventloop/src/main/java/org/lovagerack/eventloop/ConnectionPool.java
+++ b/eventloop/src/main/java/org/lovagerack/eventloop/ConnectionPool.java
@@ -90,6 +90,11 @@
     connectIfNeeded();
   }
 
+  /** Returns whether there is neither a connection nor a call. */
+  boolean isUnused() {
+    return open == 0 && waiting.isEmpty();
+  }
+
   /** Closes connections that were not used for a time. */
   void closeIdle(Duration time) {
     while (!idle.isEmpty() && idle.peekFirst().idleFor(time)) {
--- a/eventloop/src/main/java/org/lovagerack/eventloop/HttpCaller.java
+++ b/eventloop/src/main/java/org/lovagerack/eventloop/HttpCaller.java
@@ -79,14 +79,17 @@
   private ConnectionPool pool(String address) {
     if (context == null) {
       context = (ContextInternal) vertx.getOrCreateContext();
-      vertx.setPeriodic(
-          IDLE_CHECK.toMillis(),
-          ignored -> pools.values().forEach(pool -> pool.closeIdle(KEEP_ALIVE)));
+      vertx.setPeriodic(IDLE_CHECK.toMillis(), ignored -> closeIdle());
     }
     return pools.computeIfAbsent(
         address, key -> new ConnectionPool(key, connectionsPerAddress, bootstrap(), context));
   }
 
+  private void closeIdle() {
+    pools.values().forEach(pool -> pool.closeIdle(KEEP_ALIVE));
+    pools.values().removeIf(ConnectionPool::isUnused);
+  }
+
   private Bootstrap bootstrap() {
     return new Bootstrap()
         .group(context.nettyEventLoop())
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
@@ -39,22 +39,15 @@
 
   /** Returns the same parts with the workers of one shard. */
   public OwnedShardFactory forShard(ShardMap map, int shard) {
-    return new OwnedShardFactory(
-        timer,
-        wallMillis,
-        clock,
-        store,
-        calls,
-        workers,
-        worker -> map.ofWorker(worker) == shard,
-        contacts,
-        configuration,
-        bounds,
-        counters);
+    return with(worker -> map.ofWorker(worker) == shard, counters);
   }
 
   /** Returns the same parts with counters that nobody reads, for work that is not the clients'. */
   public OwnedShardFactory withoutCounters() {
+    return with(mayUse, TenureCounters.NONE);
+  }
+
+  private OwnedShardFactory with(Predicate<WorkerId> workersOfUse, TenureCounters usedCounters) {
     return new OwnedShardFactory(
         timer,
         wallMillis,
@@ -62,11 +55,11 @@
         store,
         calls,
         workers,
-        worker -> true,
+        workersOfUse,
         contacts,
         configuration,
         bounds,
-        TenureCounters.NONE);
+        usedCounters);
   }
 
   OwnedShard create(
--- a/node/src/main/java/org/lovagerack/node/NodeMain.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMain.java
@@ -134,6 +134,7 @@
         .onFailure(
             cause -> {
               log.write(LogEvent.UNEXPECTED_ERROR, cause, "step", "start");
+              NodeLogging.finish();
               System.exit(ErrorKind.INTERNAL.exitCode());
             });
   }
