--- a/node/src/main/java/org/lovagerack/node/NodeLogging.java
+++ b/node/src/main/java/org/lovagerack/node/NodeLogging.java
@@ -4,13 +4,14 @@
 import java.io.FileOutputStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
  * The logs of an entry VM: events go through the interface of Log4j 2 to the logging of the JDK,
- * which is part of its archive of loaded classes. The core of Log4j 2 loads all its plugins at each
- * start, which takes longer than a VM's first configuration.
+ * which is part of its archive of loaded classes. The core of Log4j 2 would load all its plugins at
+ * each start.
  */
 final class NodeLogging {
 
@@ -18,16 +19,17 @@
   private static final String MANAGER_PROPERTY = "java.util.logging.manager";
 
   /**
-   * Each failure of a connection is reported by the call that it breaks, so the libraries below
-   * only report what they cannot handle.
+   * Each failure of a connection is reported by the call that it breaks, so the libraries below it
+   * only report what they cannot handle; Vert.x hands that to the context's handler of errors.
    */
-  private static final List<String> QUIET_LIBRARIES = List.of("io.vertx", "io.netty");
+  private static final Map<String, Level> LIBRARIES =
+      Map.of("io.vertx", Level.OFF, "io.netty", Level.SEVERE);
 
   /** Left for the last lines when the process ends. */
   private static final Duration LAST_LINES = Duration.ofMillis(200);
 
   /** Loggers are kept only as long as somebody refers to them, and their levels with them. */
-  private static final List<Logger> QUIET_LOGGERS;
+  private static final List<Logger> LIBRARY_LOGGERS;
 
   private static final LineWriter WRITER;
 
@@ -39,8 +41,8 @@
     Logger root = Logger.getLogger("");
     root.addHandler(new LineHandler(WRITER));
     root.setLevel(Level.INFO);
-    QUIET_LOGGERS = QUIET_LIBRARIES.stream().map(Logger::getLogger).toList();
-    QUIET_LOGGERS.forEach(logger -> logger.setLevel(Level.OFF));
+    LIBRARY_LOGGERS = LIBRARIES.keySet().stream().map(Logger::getLogger).toList();
+    LIBRARY_LOGGERS.forEach(logger -> logger.setLevel(LIBRARIES.get(logger.getName())));
   }
 
   private NodeLogging() {}
