Log and count the runs that are lost with their worker, and what became of the worker

The logs could not tell a crash from a partition: 2114 gave the expired lease as the reason in both cases, did not say how many runs the task had lost, and a crashed worker returns under another identity at the same address. 2114 now has the kind of loss and the number of runs that the task has lost; 2118 says what became of the worker; runs_lost and runs_crashed count them. No decision changes.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobCounters.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobCounters.java
@@ -25,6 +25,12 @@
         @Override
         public void taskStarted() {}
 
+        @Override
+        public void runLost() {}
+
+        @Override
+        public void runCrashed() {}
+
         @Override
         public void ended(JobState state, Duration responseTime) {}
       };
@@ -44,6 +50,12 @@
   /** Counts a started task. */
   void taskStarted();
 
+  /** Counts a run that ended because its worker stopped answering. */
+  void runLost();
+
+  /** Counts a lost run whose worker turned out to have crashed. */
+  void runCrashed();
+
   /** Records an ended job and the time since its submission. */
   void ended(JobState state, Duration responseTime);
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunListener.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunListener.java
@@ -32,7 +32,7 @@
       Duration ranFor);
 
   /** Called when a run is certainly no longer active and has not completed. */
-  void lost(WorkerSession session, TaskRun run, String reason);
+  void lost(WorkerSession session, TaskRun run, RunLoss loss, String reason);
 
   /** Called when the worker has confirmed a start. */
   void started(WorkerSession session, TaskRun run);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -26,6 +26,7 @@
   private final Predicate<Job> mayHaveUnreportedRuns;
   private final WorkerSpeeds speeds;
   private final WorkerReliability reliability;
+  private final LossTracker losses;
   private final Placer placer;
   private final JobCounters counters;
   private final LongSupplier token;
@@ -49,6 +50,7 @@
       Predicate<Job> mayHaveUnreportedRuns,
       WorkerSpeeds speeds,
       WorkerReliability reliability,
+      LossTracker losses,
       Placer placer,
       JobCounters counters,
       LongSupplier token,
@@ -61,6 +63,7 @@
     this.mayHaveUnreportedRuns = mayHaveUnreportedRuns;
     this.speeds = speeds;
     this.reliability = reliability;
+    this.losses = losses;
     this.placer = placer;
     this.counters = counters;
     this.token = token;
@@ -240,19 +243,29 @@
   }
 
   @Override
-  public void lost(WorkerSession session, TaskRun run, String reason) {
-    LOG.write(LogEvent.RUN_LOST, "task", run, "worker", session.id(), "reason", reason);
-    registry
-        .find(run.task())
-        .filter(task -> task.isCurrent(run))
-        .ifPresent(
-            task -> {
-              task.requeue();
-              if (task.job().phase() == Job.Phase.ACTIVE && gate.admits(task.job())) {
-                registry.queue().add(task.job());
-                placer.request();
-              }
-            });
+  public void lost(WorkerSession session, TaskRun run, RunLoss loss, String reason) {
+    Optional<Task> current = registry.find(run.task()).filter(task -> task.isCurrent(run));
+    current.ifPresent(task -> losses.record(task, session, loss));
+    LOG.write(
+        LogEvent.RUN_LOST,
+        "task",
+        run,
+        "worker",
+        session.id(),
+        "loss",
+        loss,
+        "lostRuns",
+        current.map(task -> task.lostRuns().size()).orElse(0),
+        "reason",
+        reason);
+    current.ifPresent(
+        task -> {
+          task.requeue();
+          if (task.job().phase() == Job.Phase.ACTIVE && gate.admits(task.job())) {
+            registry.queue().add(task.job());
+            placer.request();
+          }
+        });
   }
 
   @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -62,6 +62,7 @@
   private final WorkerReliability reliability;
   private final RecoveryGate gate = new RecoveryGate();
   private final JobFinalizer finalizer;
+  private final LossTracker losses;
   private final Placer placer;
   private final RunTracker runs;
   private final WorkerSessions sessions;
@@ -93,6 +94,7 @@
             ended,
             dependencies.counters());
     this.reliability = new WorkerReliability(dependencies.timer());
+    this.losses = new LossTracker(registry, dependencies.counters());
     this.placer =
         new Placer(
             dependencies.timer(),
@@ -111,6 +113,7 @@
             this::mayHaveUnreportedRuns,
             speeds,
             reliability,
+            losses,
             placer,
             dependencies.counters(),
             log::token,
@@ -126,6 +129,7 @@
             runs,
             placer::request);
     placer.use(sessions);
+    losses.use(sessions);
     this.intake =
         new JobIntake(
             dependencies,
@@ -306,6 +310,7 @@
         }
       }
     }
+    losses.explain();
     dependencies.entryLiveness().removeUnreachable();
     placer.request();
     sessions.removeUnlisted(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -1,6 +1,7 @@
 package org.lovagerack.fleet.shard;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -107,6 +108,11 @@
     return entry;
   }
 
+  /** Returns the incarnation that the worker last reported; 0 before its first report. */
+  long incarnation() {
+    return incarnation;
+  }
+
   /** Returns whether the worker has reported to this owner. */
   boolean joined() {
     return joined;
@@ -278,7 +284,7 @@
         // The backoff is sufficient.
       }
     }
-    listener.lost(this, run, "start rejected: " + rejected.reason());
+    listener.lost(this, run, RunLoss.NOT_EXECUTED, "start rejected: " + rejected.reason());
   }
 
   private void sendStop(TaskRun run) {
@@ -452,7 +458,7 @@
     }
     joined = true;
     processResults(report);
-    processRunning(report, sentNanos);
+    processRunning(report, sentNanos, restarted);
     if (restarted) {
       runs.forEach(this::stopUnconfirmed);
     }
@@ -491,7 +497,7 @@
     }
   }
 
-  private void processRunning(WorkerReport report, long sentNanos) {
+  private void processRunning(WorkerReport report, long sentNanos, boolean restarted) {
     Set<TaskRun> runningRuns = new HashSet<>();
     for (WorkerReport.RunningTask running : report.running()) {
       runningRuns.add(running.run());
@@ -516,7 +522,11 @@
         (run, active) -> {
           if (complete && !runningRuns.contains(run) && active.mustBeListed(sentNanos)) {
             runs.remove(run);
-            listener.lost(this, run, "the worker does not list the run");
+            listener.lost(
+                this,
+                run,
+                restarted && active.confirmed() ? RunLoss.PROCESS_ENDED : RunLoss.NOT_EXECUTED,
+                "the worker does not list the run");
           }
         });
   }
@@ -549,8 +559,14 @@
   }
 
   private void loseAllRuns(String reason) {
-    List<TaskRun> lost = List.copyOf(runs.all());
-    lost.forEach(runs::remove);
-    lost.forEach(run -> listener.lost(this, run, reason));
+    List<TaskRun> unconfirmed = new ArrayList<>();
+    List<TaskRun> confirmed = new ArrayList<>();
+    runs.forEach(
+        (run, active) -> {
+          (active.confirmed() ? confirmed : unconfirmed).add(run);
+          runs.remove(run);
+        });
+    unconfirmed.forEach(run -> listener.lost(this, run, RunLoss.UNCONFIRMED, reason));
+    confirmed.forEach(run -> listener.lost(this, run, RunLoss.UNRESPONSIVE, reason));
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.lovagerack.fleet.job.LostRun;
 import org.lovagerack.fleet.job.TaskId;
 import org.lovagerack.fleet.worker.WorkerCalls;
 import org.lovagerack.fleet.worker.WorkerDirectory;
@@ -108,6 +109,22 @@
     return List.copyOf(sessions.values());
   }
 
+  /** Returns what became of the worker process that executed a lost run. */
+  WorkerFate fate(LostRun lost) {
+    WorkerSession session = sessions.get(lost.worker());
+    if (session != null && session.joined() && !session.suspect()) {
+      return session.incarnation() == lost.incarnation() ? WorkerFate.RUNNING : WorkerFate.ENDED;
+    }
+    boolean replaced =
+        directory.entries().stream()
+            .anyMatch(
+                entry ->
+                    entry.address().equals(lost.address())
+                        && lost.incarnation() > 0
+                        && entry.incarnation() > lost.incarnation());
+    return replaced ? WorkerFate.ENDED : WorkerFate.UNKNOWN;
+  }
+
   /** Returns whether there are workers and all of them have reported to this owner. */
   boolean allJoined() {
     return opened
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
@@ -208,7 +208,7 @@
     }
 
     @Override
-    public void lost(WorkerSession session, TaskRun run, String reason) {
+    public void lost(WorkerSession session, TaskRun run, RunLoss loss, String reason) {
       lost.add(run);
     }
 
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -31,6 +31,7 @@
   START_REJECTED(2115, Severity.INFO, "worker rejected a start"),
   START_UNANSWERED(2116, Severity.WARN, "start was not answered"),
   RUN_STALLED(2117, Severity.WARN, "run makes no progress and is stopped"),
+  LOSS_EXPLAINED(2118, Severity.INFO, "fate of the worker of a lost run is known"),
   UPSTREAM_EJECTED(3001, Severity.WARN, "upstream ejected"),
   UPSTREAM_READMITTED(3002, Severity.INFO, "upstream readmitted"),
   UPSTREAM_LEAVING(3003, Severity.INFO, "upstream is leaving"),
--- a/node/src/main/java/org/lovagerack/node/NodeMetrics.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMetrics.java
@@ -41,6 +41,16 @@
     registry.counter("tasks_started").inc();
   }
 
+  @Override
+  public void runLost() {
+    registry.counter("runs_lost").inc();
+  }
+
+  @Override
+  public void runCrashed() {
+    registry.counter("runs_crashed").inc();
+  }
+
   @Override
   public void ended(JobState state, Duration response) {
     registry.counter("jobs_ended{state=\"" + state.name().toLowerCase(Locale.ROOT) + "\"}").inc();
