--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
@@ -71,6 +71,15 @@
               ArrayNode numbers = failed.putArray(Integer.toString(task));
               runs.forEach(numbers::add);
             });
+    ObjectNode lost = node.putObject("lostRuns");
+    progress
+        .lostRuns()
+        .forEach(
+            (task, runs) -> {
+              ArrayNode array = lost.putArray(Integer.toString(task));
+              runs.forEach(run -> array.add(lostRunNode(run)));
+            });
+    node.put("storedAtMillis", progress.storedAtMillis());
     return bytes(node);
   }
 
@@ -84,13 +93,45 @@
     List<Integer> done = integers(field(node, "done"));
     Map<Integer, List<Integer>> failedRuns = new TreeMap<>();
     for (Map.Entry<String, JsonNode> entry : field(node, "failedRuns").properties()) {
-      try {
-        failedRuns.put(Integer.valueOf(entry.getKey()), integers(entry.getValue()));
-      } catch (NumberFormatException e) {
-        throw new MalformedRecordException("invalid progress of task " + entry.getKey(), e);
+      failedRuns.put(taskNumber(entry.getKey()), integers(entry.getValue()));
+    }
+    Map<Integer, List<LostRun>> lostRuns = new TreeMap<>();
+    // Earlier versions did not store lost runs.
+    for (Map.Entry<String, JsonNode> entry : node.path("lostRuns").properties()) {
+      List<LostRun> runs = new ArrayList<>();
+      for (JsonNode run : entry.getValue()) {
+        runs.add(lostRun(run));
       }
+      lostRuns.put(taskNumber(entry.getKey()), runs);
     }
-    return new JobProgress(done, failedRuns);
+    return new JobProgress(done, failedRuns, lostRuns, node.path("storedAtMillis").asLong());
+  }
+
+  private static int taskNumber(String key) throws MalformedRecordException {
+    try {
+      return Integer.parseInt(key);
+    } catch (NumberFormatException e) {
+      throw new MalformedRecordException("invalid progress of task " + key, e);
+    }
+  }
+
+  private static ObjectNode lostRunNode(LostRun run) {
+    return MAPPER
+        .createObjectNode()
+        .put("worker", run.worker())
+        .put("address", run.address())
+        .put("incarnation", run.incarnation())
+        .put("confirmed", run.confirmed())
+        .put("crashed", run.crashed());
+  }
+
+  private static LostRun lostRun(JsonNode node) throws MalformedRecordException {
+    return new LostRun(
+        field(node, "worker").asText(),
+        field(node, "address").asText(),
+        field(node, "incarnation").asLong(),
+        field(node, "confirmed").asBoolean(),
+        field(node, "crashed").asBoolean());
   }
 
   /** Encodes an ended job. */
--- a/fleet/src/main/java/org/lovagerack/fleet/job/LostRun.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/LostRun.java
@@ -6,22 +6,15 @@
  * @param worker identifier of the worker
  * @param address IP number and port of the worker
  * @param incarnation start time of the worker's process, Unix milliseconds; 0 if it is not known
- * @param cause what is known about the worker
+ * @param confirmed whether the worker is known to have executed the run
+ * @param crashed whether the worker's process is known to have ended; otherwise, the worker may
+ *     have been cut off
  */
-public record LostRun(String worker, String address, long incarnation, Cause cause) {
+public record LostRun(
+    String worker, String address, long incarnation, boolean confirmed, boolean crashed) {
 
-  /** What is known about the worker of a lost run. */
-  public enum Cause {
-    /** It is not known whether the worker executed the run. */
-    UNCONFIRMED,
-    /** The worker executed the run; it may have crashed or been cut off. */
-    UNRESPONSIVE,
-    /** The worker executed the run and its process ended. */
-    CRASH
-  }
-
-  /** Returns a copy whose cause is a crash. */
+  /** Returns a copy whose worker has crashed. */
   public LostRun asCrash() {
-    return new LostRun(worker, address, incarnation, Cause.CRASH);
+    return new LostRun(worker, address, incarnation, confirmed, true);
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ActiveRun.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ActiveRun.java
@@ -7,6 +7,7 @@
 final class ActiveRun {
 
   private final long createdNanos;
+  private final boolean alone;
   private Resources resources;
   private boolean confirmed;
   private long confirmedNanos;
@@ -19,14 +20,15 @@
   private int percent;
   private long percentSinceMillis;
 
-  private ActiveRun(Resources resources, long createdNanos) {
+  private ActiveRun(Resources resources, boolean alone, long createdNanos) {
     this.resources = resources;
+    this.alone = alone;
     this.createdNanos = createdNanos;
   }
 
   /** Returns a run whose start request is being sent. */
-  static ActiveRun starting(Resources resources, long nowNanos) {
-    return new ActiveRun(resources, nowNanos);
+  static ActiveRun starting(Resources resources, boolean alone, long nowNanos) {
+    return new ActiveRun(resources, alone, nowNanos);
   }
 
   /**
@@ -35,7 +37,7 @@
    * @param unclaimed whether the job of the run is still unknown
    */
   static ActiveRun inherited(Resources resources, boolean unclaimed, long nowNanos) {
-    ActiveRun run = new ActiveRun(resources, nowNanos);
+    ActiveRun run = new ActiveRun(resources, false, nowNanos);
     run.markConfirmed(nowNanos);
     run.unclaimed = unclaimed;
     return run;
@@ -51,6 +53,11 @@
     unclaimed = false;
   }
 
+  /** Returns whether the worker accepts no further tasks until the run has ended. */
+  boolean alone() {
+    return alone;
+  }
+
   boolean unclaimed() {
     return unclaimed;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Candidate.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Candidate.java
@@ -11,6 +11,7 @@
  * @param speed speed relative to the callers' duration estimates
  * @param unreliable whether the most recent runs on the worker failed
  * @param failedThisTask whether the task has already failed on the worker
+ * @param occupied whether other tasks run on the worker
  * @param tasksOfStep number of tasks of the same step that are running on the worker
  */
 record Candidate(
@@ -19,4 +20,5 @@
     double speed,
     boolean unreliable,
     boolean failedThisTask,
+    boolean occupied,
     int tasksOfStep) {}
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -12,6 +12,7 @@
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobProgress;
 import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.LostRun;
 import org.lovagerack.fleet.job.Objective;
 import org.lovagerack.fleet.job.StepSpec;
 import org.lovagerack.fleet.job.SubmittedJob;
@@ -226,9 +227,15 @@
     return objective;
   }
 
-  JobProgress progress() {
+  /**
+   * Returns the progress of the job.
+   *
+   * @param nowMillis current time, Unix milliseconds
+   */
+  JobProgress progress(long nowMillis) {
     List<Integer> done = new ArrayList<>();
     Map<Integer, List<Integer>> failed = new HashMap<>();
+    Map<Integer, List<LostRun>> lost = new HashMap<>();
     for (Task task : tasks) {
       if (task.phase() == Task.Phase.DONE) {
         done.add(task.number());
@@ -236,12 +243,29 @@
       if (!task.failedRuns().isEmpty()) {
         failed.put(task.number(), List.copyOf(task.failedRuns()));
       }
+      if (!task.losses().isEmpty()) {
+        lost.put(task.number(), task.losses().runs());
+      }
     }
-    return new JobProgress(done, failed);
+    return new JobProgress(done, failed, lost, nowMillis);
   }
 
-  void restore(JobProgress progress) {
+  /** Restores the lost runs of the tasks. */
+  void restoreLosses(JobProgress progress, long nowNanos) {
     progressStored = true;
+    progress
+        .lostRuns()
+        .forEach(
+            (number, runs) -> {
+              if (number >= 0 && number < tasks.size()) {
+                tasks.get(number).losses().restore(runs, nowNanos);
+              }
+            });
+  }
+
+  /** Restores the whole progress of a durable job. */
+  void restore(JobProgress progress, long nowNanos) {
+    restoreLosses(progress, nowNanos);
     started = true;
     for (int number : progress.doneTasks()) {
       if (number >= 0 && number < tasks.size()) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobCounters.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobCounters.java
@@ -31,6 +31,9 @@
         @Override
         public void runCrashed() {}
 
+        @Override
+        public void taskNotRepeated() {}
+
         @Override
         public void ended(JobState state, Duration responseTime) {}
       };
@@ -56,6 +59,9 @@
   /** Counts a lost run whose worker turned out to have crashed. */
   void runCrashed();
 
+  /** Counts a task that was not repeated after its runs were lost. */
+  void taskNotRepeated();
+
   /** Records an ended job and the time since its submission. */
   void ended(JobState state, Duration responseTime);
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
@@ -39,6 +39,7 @@
   private final ShardRows rows;
   private final JobRegistry registry;
   private final EndedJobs ended;
+  private final LossRecords lossRecords;
   private final JobCounters counters;
 
   JobFinalizer(
@@ -48,6 +49,7 @@
       ShardRows rows,
       JobRegistry registry,
       EndedJobs ended,
+      LossRecords lossRecords,
       JobCounters counters) {
     this.timer = timer;
     this.wallMillis = wallMillis;
@@ -55,6 +57,7 @@
     this.rows = rows;
     this.registry = registry;
     this.ended = ended;
+    this.lossRecords = lossRecords;
     this.counters = counters;
   }
 
@@ -71,6 +74,15 @@
     EndedJob record = new EndedJob(state, wallMillis.getAsLong());
     if (job.bestEffort()) {
       ended.putBestEffort(job.id(), record);
+      if (state == JobState.COMPLETED && lossRecords.remove(job.id())) {
+        append(
+            List.of(),
+            List.of(rows.progress(job.id())),
+            true,
+            "removal of the losses of job " + job.id(),
+            () -> {},
+            () -> {});
+      }
       finish(job);
       return;
     }
@@ -82,6 +94,7 @@
     append(
         List.of(new RowWrite(rows.ended(job.id()), JobCodec.encode(record))),
         removals,
+        false,
         "end of job " + job.id(),
         () -> {
           ended.putDurable(job.id(), record);
@@ -93,8 +106,13 @@
   /** Ends a best-effort job without waiting callers; records no final state. */
   void discard(Job job, String reason) {
     LOG.write(LogEvent.JOB_ABANDONED, "job", job.id(), "reason", reason);
+    abandon(job);
+  }
+
+  /** Ends a best-effort job with an unknown outcome; records no final state. */
+  void abandon(Job job) {
     counters.abandoned();
-    answer(job, new JobAnswer.Cancelled());
+    answer(job, new JobAnswer.Unresolved(ErrorKind.OUTCOME_UNKNOWN));
     job.phase(Job.Phase.ENDED);
     stopRuns(job);
     registry.remove(job);
@@ -154,12 +172,32 @@
     }
     List<UnacknowledgedResult> covered = List.copyOf(job.unacknowledgedResults());
     job.unacknowledgedResults().clear();
+    storeProgress(job, () -> covered.forEach(UnacknowledgedResult::acknowledge));
+  }
+
+  /**
+   * Stores the lost runs of a job for later owners. Those of a best-effort job are also kept here
+   * after its end, in case it is submitted again.
+   */
+  void storeLosses(Job job) {
+    if (job.phase() == Job.Phase.ACTIVE) {
+      if (job.bestEffort()) {
+        lossRecords.put(job.id(), job.progress(wallMillis.getAsLong()));
+      }
+      storeProgress(job, () -> {});
+    }
+  }
+
+  private void storeProgress(Job job, Runnable committed) {
     job.markProgressStored();
     append(
-        List.of(new RowWrite(rows.progress(job.id()), JobCodec.encode(job.progress()))),
+        List.of(
+            new RowWrite(
+                rows.progress(job.id()), JobCodec.encode(job.progress(wallMillis.getAsLong())))),
         List.of(),
+        job.bestEffort(),
         "progress of job " + job.id(),
-        () -> covered.forEach(UnacknowledgedResult::acknowledge),
+        committed,
         () -> {});
   }
 
@@ -168,12 +206,15 @@
       return;
     }
     ended.removeExpiredBestEffort(wallMillis.getAsLong());
-    List<RowKey> expired =
-        ended.removeExpiredDurable(wallMillis.getAsLong(), REMOVALS_PER_ENTRY).stream()
-            .map(rows::ended)
-            .toList();
+    List<RowKey> expired = new ArrayList<>();
+    ended
+        .removeExpiredDurable(wallMillis.getAsLong(), REMOVALS_PER_ENTRY)
+        .forEach(job -> expired.add(rows.ended(job)));
+    lossRecords
+        .removeExpired(wallMillis.getAsLong(), REMOVALS_PER_ENTRY)
+        .forEach(job -> expired.add(rows.progress(job)));
     if (!expired.isEmpty()) {
-      append(List.of(), expired, "removal of ended jobs", () -> {}, () -> {});
+      append(List.of(), expired, false, "removal of ended jobs", () -> {}, () -> {});
     }
     timer.after(EXPIRY_PERIOD, this::removeExpired);
   }
@@ -181,6 +222,7 @@
   private void append(
       List<RowWrite> writes,
       List<RowKey> removals,
+      boolean optional,
       String subject,
       Runnable committed,
       Runnable dropped) {
@@ -189,7 +231,7 @@
             List.of(),
             writes,
             removals,
-            false,
+            optional,
             new CommitEntry.Listener() {
               @Override
               public void committed() {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -33,6 +33,8 @@
   private final DecisionLog log;
   private final JobRegistry registry;
   private final EndedJobs ended;
+  private final LossRecords lossRecords;
+  private final LossTracker losses;
   private final RunTracker runs;
   private final WorkerSessions sessions;
   private final WorkerSpeeds speeds;
@@ -50,6 +52,8 @@
       DecisionLog log,
       JobRegistry registry,
       EndedJobs ended,
+      LossRecords lossRecords,
+      LossTracker losses,
       RunTracker runs,
       WorkerSessions sessions,
       WorkerSpeeds speeds,
@@ -60,6 +64,8 @@
     this.log = log;
     this.registry = registry;
     this.ended = ended;
+    this.lossRecords = lossRecords;
+    this.losses = losses;
     this.runs = runs;
     this.sessions = sessions;
     this.speeds = speeds;
@@ -106,9 +112,15 @@
     job.waiters().add(waiter);
     registry.add(job);
     if (bestEffort) {
+      lossRecords
+          .find(job.id())
+          .ifPresent(record -> job.restoreLosses(record, dependencies.timer().nanoTime()));
+      losses.watch(job);
       runs.claimInheritedRuns(job);
       accept(job);
-      runs.endIfDone(job);
+      if (!runs.endIfDone(job)) {
+        losses.check();
+      }
     } else {
       store(job);
     }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placement.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placement.java
@@ -18,13 +18,17 @@
 
   private Placement() {}
 
-  /** Returns the index of the best candidate, or {@link #NONE} if none is suitable. */
-  static int choose(StepSpec step, List<Candidate> candidates) {
+  /**
+   * Returns the index of the best candidate, or {@link #NONE} if none is suitable.
+   *
+   * @param alone whether the task should share its worker with as few tasks as possible
+   */
+  static int choose(StepSpec step, boolean alone, List<Candidate> candidates) {
     int best = NONE;
     for (int index = 0; index < candidates.size(); index++) {
       Candidate candidate = candidates.get(index);
       if (isSuitable(step, candidate)
-          && (best == NONE || isBetter(step, candidate, candidates.get(best)))) {
+          && (best == NONE || isBetter(step, alone, candidate, candidates.get(best)))) {
         best = index;
       }
     }
@@ -37,10 +41,14 @@
         && (step.maxPerWorker() == 0 || candidate.tasksOfStep() < step.maxPerWorker());
   }
 
-  private static boolean isBetter(StepSpec step, Candidate candidate, Candidate best) {
+  private static boolean isBetter(
+      StepSpec step, boolean alone, Candidate candidate, Candidate best) {
     if (candidate.failedThisTask() != best.failedThisTask()) {
       return best.failedThisTask();
     }
+    if (alone && candidate.occupied() != best.occupied()) {
+      return best.occupied();
+    }
     if (candidate.unreliable() != best.unreliable()) {
       return best.unreliable();
     }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
@@ -23,6 +23,7 @@
   private final JobRegistry registry;
   private final WorkerSpeeds speeds;
   private final WorkerReliability reliability;
+  private final LossTracker losses;
   private final Predicate<Job> mayStart;
   private WorkerSessions sessions;
   private boolean requested;
@@ -38,12 +39,14 @@
       JobRegistry registry,
       WorkerSpeeds speeds,
       WorkerReliability reliability,
+      LossTracker losses,
       Predicate<Job> mayStart) {
     this.timer = timer;
     this.configuration = configuration;
     this.registry = registry;
     this.speeds = speeds;
     this.reliability = reliability;
+    this.losses = losses;
     this.mayStart = mayStart;
   }
 
@@ -124,6 +127,11 @@
     if (!pass.mayFit(service, task.step()) || sessions.mayBeRunning(task.id())) {
       return false;
     }
+    RestartPolicy.Decision decision = losses.decide(task);
+    boolean alone = decision == RestartPolicy.Decision.START_ALONE;
+    if (!alone && decision != RestartPolicy.Decision.START) {
+      return false;
+    }
     // A task that has failed on a worker waits for another one, so that it does not use up its
     // attempts on a worker that fails every run and is therefore often free.
     boolean avoidFailed = !task.failedOn().isEmpty() && hasAlternative(task, workers);
@@ -137,7 +145,7 @@
         candidates.add(candidate(task, session, freeResources));
       }
     }
-    int chosen = Placement.choose(task.step(), candidates);
+    int chosen = Placement.choose(task.step(), alone, candidates);
     if (chosen == Placement.NONE) {
       if (task.failedOn().isEmpty()) {
         pass.reject(service, task.step());
@@ -147,7 +155,7 @@
     WorkerSession session = eligible.get(chosen);
     TaskRun run = new TaskRun(task.id(), task.job().nextRunNumber());
     task.assign(run, session);
-    session.start(run, task.job().submitted().spec().specification(), task.step().request());
+    session.start(run, task.job().submitted().spec().specification(), task.step().request(), alone);
     return true;
   }
 
@@ -160,6 +168,7 @@
         speeds.speed(session.id()),
         reliability.unreliable(session.id()),
         task.failedOn().contains(session.id()),
+        !session.runs().isEmpty(),
         tasksOfStep);
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -227,7 +227,7 @@
     }
     if (task.failedRuns().size() >= job.queue().attempts()) {
       finalizer.end(job, JobState.FAILED);
-    } else if (gate.admits(job) && !endIfDone(job)) {
+    } else if (!losses.endIfNotRepeated(task) && gate.admits(job) && !endIfDone(job)) {
       registry.queue().add(job);
       placer.request();
     }
@@ -255,16 +255,13 @@
         "loss",
         loss,
         "lostRuns",
-        current.map(task -> task.lostRuns().size()).orElse(0),
+        current.map(task -> task.losses().runs().size()).orElse(0),
         "reason",
         reason);
     current.ifPresent(
         task -> {
           task.requeue();
-          if (task.job().phase() == Job.Phase.ACTIVE && gate.admits(task.job())) {
-            registry.queue().add(task.job());
-            placer.request();
-          }
+          continueJob(task);
         });
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -58,6 +58,7 @@
   private final DecisionLog log;
   private final JobRegistry registry = new JobRegistry();
   private final EndedJobs ended;
+  private final LossRecords lossRecords;
   private final WorkerSpeeds speeds = new WorkerSpeeds();
   private final WorkerReliability reliability;
   private final RecoveryGate gate = new RecoveryGate();
@@ -84,6 +85,7 @@
     this.rows = rows;
     this.log = log;
     this.ended = new EndedJobs(dependencies.bounds().statusRetention());
+    this.lossRecords = new LossRecords(dependencies.bounds().statusRetention());
     this.finalizer =
         new JobFinalizer(
             dependencies.timer(),
@@ -92,9 +94,11 @@
             rows,
             registry,
             ended,
+            lossRecords,
             dependencies.counters());
     this.reliability = new WorkerReliability(dependencies.timer());
-    this.losses = new LossTracker(registry, dependencies.counters());
+    this.losses =
+        new LossTracker(dependencies.timer(), registry, finalizer, dependencies.counters());
     this.placer =
         new Placer(
             dependencies.timer(),
@@ -102,6 +106,7 @@
             registry,
             speeds,
             reliability,
+            losses,
             this::mayStart);
     this.runs =
         new RunTracker(
@@ -137,6 +142,8 @@
             log,
             registry,
             ended,
+            lossRecords,
+            losses,
             runs,
             sessions,
             speeds,
@@ -165,7 +172,7 @@
 
   /** Starts without a store and therefore without recovery of durable jobs. */
   void startWithoutStore() {
-    recover(List.of());
+    recover(ShardRecovery.Stored.NOTHING);
     dependencies.timer().after(SWEEP_PERIOD, this::sweep);
     finalizer.start();
   }
@@ -200,8 +207,10 @@
     return recovered && !closed;
   }
 
-  private void recover(List<Job> jobs) {
-    jobs.forEach(registry::add);
+  private void recover(ShardRecovery.Stored stored) {
+    stored.jobs().forEach(registry::add);
+    stored.jobs().forEach(losses::watch);
+    stored.lossRecords().forEach(lossRecords::put);
     recovered = true;
     LOG.write(
         LogEvent.SHARD_RECOVERED,
@@ -210,7 +219,7 @@
         "token",
         log.token(),
         "jobs",
-        jobs.size());
+        stored.jobs().size());
     sessions.open();
     dependencies.timer().after(INHERITED_RUN_TIMEOUT, runs::stopUnclaimedRuns);
     dependencies.timer().after(WORKER_REPORT_TIMEOUT, () -> workersReported = true);
@@ -310,7 +319,7 @@
         }
       }
     }
-    losses.explain();
+    losses.check();
     dependencies.entryLiveness().removeUnreachable();
     placer.request();
     sessions.removeUnlisted(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardRecovery.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.JobProgress;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.SubmittedJob;
 import org.lovagerack.fleet.store.ReadOutcome;
@@ -17,9 +18,19 @@
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
 
-/** Reads the durable jobs that former owners accepted and that have not ended. */
+/** Reads what former owners stored: durable jobs that have not ended, and lost runs of others. */
 final class ShardRecovery {
 
+  /**
+   * What former owners stored.
+   *
+   * @param jobs durable jobs that have not ended
+   * @param lossRecords progress of best-effort jobs that lost runs, keyed by job
+   */
+  record Stored(List<Job> jobs, Map<String, JobProgress> lossRecords) {
+    static final Stored NOTHING = new Stored(List.of(), Map.of());
+  }
+
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration READ_RETRY_DELAY = Duration.ofMillis(100);
 
@@ -50,7 +61,7 @@
    * Reads all jobs and retries failed reads until they succeed. Both tables are read concurrently
    * because only the current owner writes to them.
    */
-  void read(Consumer<List<Job>> callback) {
+  void read(Consumer<Stored> callback) {
     List<StoredRow> jobRows = new ArrayList<>();
     List<StoredRow> progressRows = new ArrayList<>();
     int[] tablesLeft = {2};
@@ -90,7 +101,7 @@
         });
   }
 
-  private List<Job> decode(List<StoredRow> jobRows, List<StoredRow> progressRows) {
+  private Stored decode(List<StoredRow> jobRows, List<StoredRow> progressRows) {
     Map<String, Job> jobs = new HashMap<>();
     for (StoredRow row : jobRows) {
       try {
@@ -100,16 +111,20 @@
         LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
       }
     }
+    Map<String, JobProgress> lossRecords = new HashMap<>();
     for (StoredRow row : progressRows) {
       Job job = jobs.get(row.key().key());
-      if (job != null) {
-        try {
-          job.restore(JobCodec.decodeProgress(row.value()));
-        } catch (MalformedRecordException e) {
-          LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
+      try {
+        JobProgress progress = JobCodec.decodeProgress(row.value());
+        if (job == null) {
+          lossRecords.put(row.key().key(), progress);
+        } else {
+          job.restore(progress, timer.nanoTime());
         }
+      } catch (MalformedRecordException e) {
+        LOG.write(LogEvent.ROW_UNREADABLE, e, "row", row.key());
       }
     }
-    return List.copyOf(jobs.values());
+    return new Stored(List.copyOf(jobs.values()), lossRecords);
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Task.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Task.java
@@ -1,12 +1,9 @@
 package org.lovagerack.fleet.shard;
 
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
-import org.lovagerack.fleet.job.LostRun;
 import org.lovagerack.fleet.job.StepSpec;
 import org.lovagerack.fleet.job.TaskId;
 import org.lovagerack.fleet.job.TaskRun;
@@ -30,7 +27,7 @@
   private final StepSpec step;
   private final SortedSet<Integer> failedRuns = new TreeSet<>();
   private final Set<WorkerId> failedOn = new HashSet<>();
-  private final List<LostRun> lostRuns = new ArrayList<>();
+  private final TaskLosses losses = new TaskLosses();
   private Phase phase = Phase.WAITING;
   private boolean stalled;
   private TaskRun run;
@@ -82,9 +79,9 @@
     return failedRuns;
   }
 
-  /** Returns the runs that ended with their worker, unless the worker was only cut off. */
-  List<LostRun> lostRuns() {
-    return lostRuns;
+  /** Returns the runs that ended with their worker. */
+  TaskLosses losses() {
+    return losses;
   }
 
   /**
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -70,6 +70,7 @@
   private boolean closed;
   private boolean joined;
   private boolean suspect;
+  private boolean processEnded;
   private boolean reporting;
   private boolean reportRequested;
   private long reportsSent;
@@ -123,6 +124,11 @@
     return suspect;
   }
 
+  /** Returns whether another process answers at the worker's address. */
+  boolean processEnded() {
+    return processEnded;
+  }
+
   /** Returns whether the worker counts towards the capacity of its service. */
   boolean serving() {
     return joined && !suspect && listed && !entry.draining();
@@ -139,7 +145,10 @@
   }
 
   boolean acceptsTasks() {
-    return serving() && !hasUnclaimedRuns() && startBackoff.hasElapsed();
+    return serving()
+        && !hasUnclaimedRuns()
+        && !runs.any(ActiveRun::alone)
+        && startBackoff.hasElapsed();
   }
 
   int runsOfStep(String jobId, int step) {
@@ -178,9 +187,13 @@
     closed = true;
   }
 
-  /** Starts a run; the listener is notified of its outcome. */
-  void start(TaskRun run, String specification, Resources resources) {
-    ActiveRun active = ActiveRun.starting(resources, timer.nanoTime());
+  /**
+   * Starts a run; the listener is notified of its outcome.
+   *
+   * @param alone whether the worker accepts no further tasks until the run has ended
+   */
+  void start(TaskRun run, String specification, Resources resources, boolean alone) {
+    ActiveRun active = ActiveRun.starting(resources, alone, timer.nanoTime());
     runs.add(run, active);
     lastExtensionNanos = timer.nanoTime();
     StartRequest request =
@@ -430,8 +443,12 @@
       suspect = true;
       LOG.write(LogEvent.WORKER_SUSPECT, "worker", id(), "runs", runs.size(), "detail", outcome);
     }
-    if (timer.nanoTime() - lastExtensionNanos > bounds.workerLeaseExpiryBound().toNanos()) {
-      loseAllRuns("the worker's lease has expired");
+    if (outcome instanceof RequestOutcome.Rejected rejected
+        && rejected.reason() == RequestOutcome.Reason.OTHER_INCARNATION) {
+      processEnded = true;
+      loseAllRuns(RunLoss.PROCESS_ENDED, "another process answers at the worker's address");
+    } else if (timer.nanoTime() - lastExtensionNanos > bounds.workerLeaseExpiryBound().toNanos()) {
+      loseAllRuns(RunLoss.UNRESPONSIVE, "the worker's lease has expired");
     }
     timer.after(listed ? RETRY_DELAY : UNLISTED_RETRY_DELAY, this::report);
   }
@@ -452,6 +469,7 @@
     incarnation = report.incarnation();
     clock.reset(report.clockMillis());
     boolean first = !joined;
+    processEnded = false;
     if (suspect) {
       suspect = false;
       LOG.write(LogEvent.WORKER_RECOVERED, "worker", id(), "runs", runs.size());
@@ -558,7 +576,7 @@
         });
   }
 
-  private void loseAllRuns(String reason) {
+  private void loseAllRuns(RunLoss lossOfConfirmed, String reason) {
     List<TaskRun> unconfirmed = new ArrayList<>();
     List<TaskRun> confirmed = new ArrayList<>();
     runs.forEach(
@@ -567,6 +585,6 @@
           runs.remove(run);
         });
     unconfirmed.forEach(run -> listener.lost(this, run, RunLoss.UNCONFIRMED, reason));
-    confirmed.forEach(run -> listener.lost(this, run, RunLoss.UNRESPONSIVE, reason));
+    confirmed.forEach(run -> listener.lost(this, run, lossOfConfirmed, reason));
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
@@ -122,7 +122,9 @@
                     entry.address().equals(lost.address())
                         && lost.incarnation() > 0
                         && entry.incarnation() > lost.incarnation());
-    return replaced ? WorkerFate.ENDED : WorkerFate.UNKNOWN;
+    return replaced || (session != null && session.processEnded())
+        ? WorkerFate.ENDED
+        : WorkerFate.UNKNOWN;
   }
 
   /** Returns whether there are workers and all of them have reported to this owner. */
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
@@ -0,0 +1,238 @@
+package org.lovagerack.fleet.shard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.FakeNetwork;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.OwnerVm;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/** Runs tasks that crash each worker that starts them, beside sound ones. */
+final class CrashingTaskTest {
+
+  /** Workers that may crash under a task before it is given up. */
+  private static final int MAX_CRASHES = 2;
+
+  /** Longer than the sequence of crashes and restarts that is allowed. */
+  private static final long LONG_TIME_MILLIS = 40_000;
+
+  private final FakeFleet fleet = new FakeFleet(8, Duration.ofMillis(100));
+
+  private void advanceMillis(long millis) {
+    fleet.timer.advance(Duration.ofMillis(millis));
+  }
+
+  private OwnerVm startOwner(String name) {
+    OwnerVm owner = fleet.vm(name).takeOverShard().orElseThrow();
+    advanceMillis(50);
+    return owner;
+  }
+
+  /**
+   * Returns a job whose first task crashes its workers; the estimate decides how long it is of use.
+   */
+  private static Submission crashingJob(String id, int tasks, long estimatedMillis, boolean best) {
+    Submission sound = FakeFleet.job(id, tasks, estimatedMillis, best);
+    return new Submission(
+        id,
+        sound.queue(),
+        new JobSpec(FakeWorker.CRASHING_FIRST_TASK, sound.spec().steps(), best),
+        sound.clientTimeout(),
+        sound.entry(),
+        false);
+  }
+
+  @Test
+  void durableTaskThatCrashesItsWorkersIsGivenUpAfterTwoOfThem() {
+    OwnerVm owner = startOwner("first");
+    owner.submit(crashingJob("crashing", 1, 100, false));
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(MAX_CRASHES);
+    assertThat(owner.state("crashing")).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  @Test
+  void callerWhoWaitsLongGetsAFailureAfterTwoCrashes() {
+    OwnerVm owner = startOwner("first");
+    List<JobAnswer> answers = owner.submit(crashingJob("crashing", 1, 20_000, true));
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(MAX_CRASHES);
+  }
+
+  /** The result is of use for 0.66 s, and the loss of the run is certain only after 1.1 s. */
+  @Test
+  void taskIsNotRepeatedForACallerWhoCannotUseItsResult() {
+    OwnerVm owner = startOwner("first");
+    List<JobAnswer> answers = owner.submit(crashingJob("crashing", 1, 100, true));
+    advanceMillis(1300);
+
+    assertThat(answers).containsExactly(new JobAnswer.Unresolved(ErrorKind.OUTCOME_UNKNOWN));
+    advanceMillis(LONG_TIME_MILLIS);
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(1);
+  }
+
+  @Test
+  void crashesUnderAFormerOwnerCount() {
+    OwnerVm first = startOwner("first");
+    first.submit(crashingJob("crashing", 1, 100, false));
+    advanceMillis(1500);
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(2);
+    first.kill(fleet.network);
+
+    OwnerVm second = startOwner("second");
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(fleet.observer.crashes("crashing")).isLessThanOrEqualTo(MAX_CRASHES + 1);
+    assertThat(second.state("crashing")).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  /** Each owner ends before it can know of the crash. */
+  @Test
+  void ownersKilledRightAfterEachCrashDoNotRestartTheTaskForever() {
+    OwnerVm owner = startOwner("vm-0");
+    owner.submit(crashingJob("crashing", 1, 100, false));
+    for (int vm = 1; vm <= 3; vm++) {
+      int before = vm - 1;
+      for (int step = 0; step < 1000 && fleet.observer.crashes("crashing") == before; step++) {
+        advanceMillis(10);
+      }
+      owner.kill(fleet.network);
+      owner = startOwner("vm-" + vm);
+    }
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(owner.state("crashing")).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  @Test
+  void resubmittedJobCrashesNoFurtherWorkerAfterItWasGivenUp() {
+    OwnerVm owner = startOwner("first");
+    owner.submit(crashingJob("crashing", 1, 20_000, true));
+    advanceMillis(LONG_TIME_MILLIS);
+
+    List<JobAnswer> answers = owner.submit(crashingJob("crashing", 1, 20_000, true));
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(MAX_CRASHES);
+  }
+
+  @Test
+  void nextOwnerDoesNotRunAResubmittedJobThatWasGivenUp() {
+    OwnerVm first = startOwner("first");
+    first.submit(crashingJob("crashing", 1, 20_000, true));
+    advanceMillis(LONG_TIME_MILLIS);
+    first.kill(fleet.network);
+    OwnerVm second = startOwner("second");
+
+    List<JobAnswer> answers = second.submit(crashingJob("crashing", 1, 20_000, true));
+    advanceMillis(1000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(MAX_CRASHES);
+  }
+
+  @Test
+  void lossesThatCannotBeStoredCountForThisOwner() {
+    OwnerVm owner = startOwner("first");
+    List<JobAnswer> answers = owner.submit(crashingJob("crashing", 1, 20_000, true));
+    owner.vm().storeConnection.setFault(FakeStore.Fault.REFUSED);
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(MAX_CRASHES);
+  }
+
+  /** Workers that never return leave it open whether they crashed. */
+  @Test
+  void taskIsNotRestartedAgainAndAgainWhileItsWorkersStayAway() {
+    fleet.workers.forEach(worker -> worker.setRestartTime(Duration.ofMinutes(10)));
+    OwnerVm owner = startOwner("first");
+    owner.submit(crashingJob("crashing", 1, 100, false));
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  /** The first task crashes both its workers; sixteen tasks fill all eight of them. */
+  @Test
+  void soundTasksBesideACrashingOneComplete() {
+    OwnerVm owner = startOwner("first");
+    List<JobAnswer> sound = owner.submit(FakeFleet.job("sound", 15, 2000, true));
+    owner.submit(crashingJob("crashing", 1, 2000, true));
+    advanceMillis(6000);
+
+    assertThat(sound).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  @Test
+  void nothingElseStartsOnTheWorkerOfARepeatedTask() {
+    OwnerVm owner = startOwner("first");
+    owner.submit(crashingJob("crashing", 1, 2000, true));
+    for (int job = 0; job < 100; job++) {
+      owner.submit(FakeFleet.job("sound-" + job, 4, 100, false));
+      advanceMillis(30);
+    }
+    advanceMillis(5000);
+
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(MAX_CRASHES);
+    long lostBesideIt =
+        java.util.stream.IntStream.range(0, 100)
+            .filter(job -> fleet.observer.crashes("sound-" + job) > 0)
+            .count();
+    assertThat(lostBesideIt).isLessThanOrEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3})
+  void soundDurableJobIsNotGivenUpAfterItsWorkersWereCutOff(int cuts) {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
+    OwnerVm owner = startOwner("first");
+    owner.submit(FakeFleet.job("sound", 1, 1000, false));
+    for (int cut = 0; cut < cuts; cut++) {
+      advanceMillis(300);
+      fleet.workers.forEach(
+          worker ->
+              fleet.network.setPath(
+                  "first",
+                  worker,
+                  worker.runningTasks() > 0 ? FakeNetwork.Path.RESET : FakeNetwork.Path.OPEN));
+      advanceMillis(1500);
+    }
+    fleet.workers.forEach(worker -> fleet.network.setPath("first", worker, FakeNetwork.Path.OPEN));
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(owner.state("sound")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  @Test
+  void soundDurableJobCompletesAfterACrashThatItDidNotCause() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
+    OwnerVm owner = startOwner("first");
+    owner.submit(FakeFleet.job("sound", 4, 1000, false));
+    advanceMillis(300);
+    fleet.workers.forEach(FakeWorker::crash);
+    advanceMillis(LONG_TIME_MILLIS);
+
+    assertThat(owner.state("sound")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+  }
+}
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/DecisionsTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/DecisionsTest.java
@@ -30,7 +30,7 @@
   }
 
   private static Candidate candidate(long cpu, double speed) {
-    return new Candidate(new Resources(cpu, 1000, 0), Set.of("a"), speed, false, false, 0);
+    return new Candidate(new Resources(cpu, 1000, 0), Set.of("a"), speed, false, false, false, 0);
   }
 
   @Test
@@ -38,6 +38,7 @@
     assertThat(
             Placement.choose(
                 step("", "", 0),
+                false,
                 List.of(candidate(16_000, 0.6), candidate(4_000, 3), candidate(9_000, 1.6))))
         .isEqualTo(2);
   }
@@ -46,29 +47,32 @@
   void tightestFitIsChosenAmongEqualSpeeds() {
     assertThat(
             Placement.choose(
-                step("", "", 0), List.of(candidate(16_000, 1), candidate(7_000, 1.05))))
+                step("", "", 0), false, List.of(candidate(16_000, 1), candidate(7_000, 1.05))))
         .isEqualTo(1);
   }
 
   @Test
   void workerWhereTheTaskFailedIsTheLastChoice() {
-    Candidate failed = new Candidate(new Resources(16_000, 1000, 0), Set.of(), 2, false, true, 0);
+    Candidate failed =
+        new Candidate(new Resources(16_000, 1000, 0), Set.of(), 2, false, true, false, 0);
     Candidate unreliable =
-        new Candidate(new Resources(16_000, 1000, 0), Set.of(), 2, true, false, 0);
+        new Candidate(new Resources(16_000, 1000, 0), Set.of(), 2, true, false, false, 0);
 
     assertThat(
-            Placement.choose(step("", "", 0), List.of(failed, unreliable, candidate(16_000, 0.6))))
+            Placement.choose(
+                step("", "", 0), false, List.of(failed, unreliable, candidate(16_000, 0.6))))
         .isEqualTo(2);
-    assertThat(Placement.choose(step("", "", 0), List.of(failed))).isZero();
+    assertThat(Placement.choose(step("", "", 0), false, List.of(failed))).isZero();
   }
 
   @Test
   void labelAndLimitPerWorkerExcludeWorkers() {
-    Candidate full = new Candidate(new Resources(16_000, 1000, 0), Set.of("a"), 1, false, false, 2);
+    Candidate full =
+        new Candidate(new Resources(16_000, 1000, 0), Set.of("a"), 1, false, false, false, 2);
 
-    assertThat(Placement.choose(step("b", "", 0), List.of(candidate(16_000, 1))))
+    assertThat(Placement.choose(step("b", "", 0), false, List.of(candidate(16_000, 1))))
         .isEqualTo(Placement.NONE);
-    assertThat(Placement.choose(step("a", "", 2), List.of(full))).isEqualTo(Placement.NONE);
+    assertThat(Placement.choose(step("a", "", 2), false, List.of(full))).isEqualTo(Placement.NONE);
   }
 
   @Test
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
@@ -39,6 +39,7 @@
   public final RunObserver observer = new RunObserver();
   public final FakeNetwork network = new FakeNetwork(timer);
   public final List<FakeWorker> workers = new ArrayList<>();
+  private final List<Vm> vms = new ArrayList<>();
   private long wallShiftMillis;
 
   /** Creates workers for two tasks each, alternately in failure domains a and b. */
@@ -48,6 +49,18 @@
       FakeWorker fake = new FakeWorker(timer, observer, id, taskTime);
       workers.add(fake);
       network.add(fake);
+      fake.setRestartListener(() -> list(fake));
+    }
+  }
+
+  /** Lists a worker with its present state in the directories of all VMs. */
+  public void list(FakeWorker worker) {
+    for (Vm vm : vms) {
+      List.copyOf(vm.directory.entries()).stream()
+          .filter(entry -> entry.address().equals(worker.entry().address()))
+          .filter(entry -> !entry.id().equals(worker.entry().id()))
+          .forEach(entry -> vm.directory.remove(entry.id()));
+      vm.directory.put(worker.entry());
     }
   }
 
@@ -121,6 +134,7 @@
               new FleetBounds(Duration.ofSeconds(1), Duration.ofSeconds(120)),
               JobCounters.NONE);
       workers.forEach(worker -> directory.put(worker.entry()));
+      vms.add(this);
     }
 
     public ShardLease lease() {
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeNetwork.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeNetwork.java
@@ -110,7 +110,7 @@
             timer.after(
                 LATENCY,
                 () -> {
-                  RequestOutcome outcome = action.get();
+                  RequestOutcome outcome = isIntended(worker) ? action.get() : otherProcess();
                   timer.after(LATENCY, () -> deliver(callback, outcome));
                 });
         case CUT -> noAnswer(timeout, callback);
@@ -170,7 +170,9 @@
       timer.after(
           LATENCY,
           () -> {
-            if (receiveReport(worker, request)) {
+            if (!isIntended(worker)) {
+              deliver(callback, new ReportOutcome.Missing(otherProcess()));
+            } else if (receiveReport(worker, request)) {
               answerLater(worker, request.maxWait(), callback);
             } else {
               timer.after(
@@ -196,7 +198,9 @@
 
     private void answerLater(WorkerEntry worker, Duration wait, Consumer<ReportOutcome> callback) {
       FakeWorker target = workers.get(worker.address());
-      if (paths.get(vm + ">" + worker.address()) == Path.RESET) {
+      if (paths.get(vm + ">" + worker.address()) == Path.RESET
+          || target.down()
+          || !isIntended(worker)) {
         deliver(callback, new ReportOutcome.Missing(refused()));
         return;
       }
@@ -208,6 +212,15 @@
       timer.after(LATENCY, () -> deliver(callback, outcome));
     }
 
+    private boolean isIntended(WorkerEntry worker) {
+      return workers.get(worker.address()).entry().id().equals(worker.id());
+    }
+
+    private static RequestOutcome otherProcess() {
+      return new RequestOutcome.Rejected(
+          RequestOutcome.Reason.OTHER_INCARNATION, "another process");
+    }
+
     private static RequestOutcome refused() {
       return new RequestOutcome.Rejected(RequestOutcome.Reason.UNAVAILABLE, "connection refused");
     }
@@ -220,6 +233,9 @@
 
     private Path path(WorkerEntry worker) {
       Path path = paths.getOrDefault(vm + ">" + worker.address(), Path.OPEN);
+      if (workers.get(worker.address()).down()) {
+        return path == Path.CUT ? path : Path.RESET;
+      }
       return path == Path.OPEN && random.nextDouble() < lateShare ? Path.LATE : path;
     }
   }
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
@@ -29,12 +29,21 @@
   /** Time until a failing run ends. */
   private static final long FAILURE_MILLIS = 5;
 
+  /** Specification of a job whose first task crashes each worker that starts it. */
+  public static final String CRASHING_FIRST_TASK = "crash-first-task";
+
+  /** Time from the start of a crashing task to the crash of its worker. */
+  private static final Duration CRASH_DELAY = Duration.ofMillis(3);
+
+  /** Tasks of 6.8 cores fit into as many of these units. */
+  private static final long CPU_MILLICORES_PER_TASK = 8_000;
+
   /** Start of a specification that names the work of each task, in milliseconds at speed 1. */
   static final String WORK_PREFIX = "work-ms:";
 
   private final TimerService timer;
   private final RunObserver observer;
-  private final String id;
+  private final String name;
   private final Map<TaskId, ActiveRun> running = new LinkedHashMap<>();
   private final Map<TaskId, Integer> newestEndedRuns = new HashMap<>();
   private final List<TaskRunResult> results = new ArrayList<>();
@@ -43,6 +52,13 @@
   private double speed = 1;
   private double failingShare;
   private boolean draining;
+  private String id;
+  private int room = 2;
+  private boolean guardsRoom = true;
+  private Duration stopTime = Duration.ZERO;
+  private Duration restartTime = Duration.ofSeconds(3);
+  private boolean down;
+  private Runnable onRestart = () -> {};
   private long incarnation;
   private long startedNanos;
   private long highestToken;
@@ -53,6 +69,7 @@
     private final int run;
     private final double workMillis;
     private final boolean fails;
+    private boolean stopping;
     private double remainingMillis;
     private long updatedMillis;
 
@@ -85,6 +102,7 @@
   public FakeWorker(TimerService timer, RunObserver observer, String id, Duration taskTime) {
     this.timer = timer;
     this.observer = observer;
+    this.name = id;
     this.id = id;
     this.taskTime = taskTime;
     this.random = new SplittableRandom(id.hashCode());
@@ -96,10 +114,10 @@
     return new WorkerEntry(
         new WorkerId(id),
         "service-1",
-        id + ":1",
-        id.substring(0, 1),
+        name + ":1",
+        name.substring(0, 1),
         draining,
-        new Resources(16_000, 64_000, 0),
+        new Resources(room * CPU_MILLICORES_PER_TASK, 64_000, 0),
         Set.of("a"),
         incarnation);
   }
@@ -123,16 +141,68 @@
     failingShare = share;
   }
 
+  /** Sets how many tasks the worker has room for, and whether it rejects further ones. */
+  public void setRoom(int tasks, boolean guards) {
+    room = tasks;
+    guardsRoom = guards;
+  }
+
+  /** Sets how long a run that is being stopped occupies the worker. */
+  public void setStopTime(Duration newStopTime) {
+    stopTime = newStopTime;
+  }
+
+  /** Sets after which time the worker restarts when it has crashed. */
+  public void setRestartTime(Duration newRestartTime) {
+    restartTime = newRestartTime;
+  }
+
+  /** Sets the callback that is called when the worker has restarted under another identity. */
+  void setRestartListener(Runnable listener) {
+    onRestart = listener;
+  }
+
+  boolean down() {
+    return down;
+  }
+
+  /** Crashes the worker, which returns later at the same address under another identity. */
+  public void crash() {
+    if (down) {
+      return;
+    }
+    down = true;
+    endAllRuns();
+    timer.after(
+        restartTime,
+        () -> {
+          down = false;
+          start();
+          id = name + "-" + incarnation;
+          onRestart.run();
+        });
+  }
+
   public void setDraining(boolean newDraining) {
     draining = newDraining;
   }
 
   /** Restarts the worker with the same identity and without its previous state. */
   public void restart() {
-    running.forEach((task, active) -> observer.ended(id, new TaskRun(task, active.run()), false));
+    endAllRuns();
     start();
   }
 
+  private void endAllRuns() {
+    running.forEach(
+        (task, active) -> {
+          TaskRun run = new TaskRun(task, active.run());
+          observer.crashed(run);
+          observer.ended(id, run, false);
+        });
+    running.clear();
+  }
+
   public int runningTasks() {
     return running.size();
   }
@@ -172,14 +242,20 @@
     if (known != null || run.run() <= newestEndedRuns.getOrDefault(run.task(), 0)) {
       return rejected(RequestOutcome.Reason.SUPERSEDED);
     }
-    if (running.size() >= 2) {
-      return rejected(RequestOutcome.Reason.NO_ROOM);
+    if (running.size() >= room) {
+      if (guardsRoom) {
+        return rejected(RequestOutcome.Reason.NO_ROOM);
+      }
+      observer.exceeded(id, run);
     }
     extend(OptionalLong.of(request.deadlineMillis()));
     boolean fails = random.nextDouble() < failingShare;
     long workMillis = fails ? FAILURE_MILLIS : workMillis(request.specification());
     running.put(run.task(), new ActiveRun(run.run(), workMillis, fails, clockMillis()));
     observer.started(id, run);
+    if (request.specification().equals(CRASHING_FIRST_TASK) && run.task().index() == 0) {
+      timer.after(CRASH_DELAY, () -> crashUnder(run));
+    }
     return new RequestOutcome.Done(clockMillis());
   }
 
@@ -190,12 +266,32 @@
         : taskTime.toMillis();
   }
 
+  private void crashUnder(TaskRun run) {
+    ActiveRun active = running.get(run.task());
+    if (active != null && active.run() == run.run()) {
+      crash();
+    }
+  }
+
   RequestOutcome stop(TaskRun run, long token) {
     if (token < highestToken) {
       return rejected(RequestOutcome.Reason.FENCED);
     }
     highestToken = token;
-    end(run, TaskRunResult.Kind.STOPPED);
+    ActiveRun active = running.get(run.task());
+    if (active != null && active.run() == run.run() && !stopTime.isZero()) {
+      active.stopping = true;
+      newestEndedRuns.merge(run.task(), run.run(), Math::max);
+      timer.after(
+          stopTime,
+          () -> {
+            if (running.get(run.task()) == active) {
+              end(run, TaskRunResult.Kind.STOPPED);
+            }
+          });
+    } else {
+      end(run, TaskRunResult.Kind.STOPPED);
+    }
     return new RequestOutcome.Done(clockMillis());
   }
 
@@ -251,7 +347,7 @@
               TaskRun run = new TaskRun(entry.getKey(), entry.getValue().run());
               if (now >= leaseUntilMillis) {
                 end(run, TaskRunResult.Kind.LAPSED);
-              } else if (entry.getValue().done()) {
+              } else if (entry.getValue().done() && !entry.getValue().stopping) {
                 end(
                     run,
                     entry.getValue().fails ? TaskRunResult.Kind.FAILED : TaskRunResult.Kind.DONE);
--- a/fleet/src/test/java/org/lovagerack/fleet/support/RunObserver.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/RunObserver.java
@@ -13,8 +13,16 @@
 /** Records the runs of all workers, and every violation of a guarantee. */
 public final class RunObserver {
 
+  /** Crashes after which the starts of a task are counted. */
+  private static final int CRASHES_OF_A_TASK = 3;
+
+  /** Further starts that violate the guarantee. */
+  private static final int MAX_STARTS_AFTER_CRASHES = 3;
+
   private final Map<TaskId, Set<String>> running = new HashMap<>();
   private final Set<TaskId> acknowledgedDone = new HashSet<>();
+  private final Map<TaskId, Integer> crashes = new HashMap<>();
+  private final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
   private final List<String> starts = new ArrayList<>();
   private final List<String> violations = new ArrayList<>();
 
@@ -27,9 +35,21 @@
     if (acknowledgedDone.contains(run.task())) {
       violations.add("started after its result was acknowledged: " + run);
     }
+    if (crashes.getOrDefault(run.task(), 0) >= CRASHES_OF_A_TASK
+        && startsAfterCrashes.merge(run.task(), 1, Integer::sum) >= MAX_STARTS_AFTER_CRASHES) {
+      violations.add("started again and again although it crashes its workers: " + run);
+    }
     starts.add(worker + " " + run);
   }
 
+  void crashed(TaskRun run) {
+    crashes.merge(run.task(), 1, Integer::sum);
+  }
+
+  void exceeded(String worker, TaskRun run) {
+    violations.add("more tasks than the worker has room for: " + run + " on " + worker);
+  }
+
   void ended(String worker, TaskRun run, boolean done) {
     running.getOrDefault(run.task(), new HashSet<>()).remove(worker + "/" + run.run());
   }
@@ -45,6 +65,14 @@
     return starts;
   }
 
+  /** Returns the number of workers that crashed under tasks of a job. */
+  public int crashes(String jobId) {
+    return crashes.entrySet().stream()
+        .filter(entry -> entry.getKey().jobId().equals(jobId))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
+  }
+
   /** Returns the violations of guarantees. */
   public List<String> violations() {
     return violations;
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -32,6 +32,7 @@
   START_UNANSWERED(2116, Severity.WARN, "start was not answered"),
   RUN_STALLED(2117, Severity.WARN, "run makes no progress and is stopped"),
   LOSS_EXPLAINED(2118, Severity.INFO, "fate of the worker of a lost run is known"),
+  TASK_NOT_REPEATED(2119, Severity.WARN, "task is not repeated after its workers were lost"),
   UPSTREAM_EJECTED(3001, Severity.WARN, "upstream ejected"),
   UPSTREAM_READMITTED(3002, Severity.INFO, "upstream readmitted"),
   UPSTREAM_LEAVING(3003, Severity.INFO, "upstream is leaving"),
--- a/node/src/main/java/org/lovagerack/node/NodeMetrics.java
+++ b/node/src/main/java/org/lovagerack/node/NodeMetrics.java
@@ -51,6 +51,11 @@
     registry.counter("runs_crashed").inc();
   }
 
+  @Override
+  public void taskNotRepeated() {
+    registry.counter("tasks_not_repeated").inc();
+  }
+
   @Override
   public void ended(JobState state, Duration response) {
     registry.counter("jobs_ended{state=\"" + state.name().toLowerCase(Locale.ROOT) + "\"}").inc();
