Use the result of a run that seemed lost

A worker that is cut off may complete its run and report it when it is back. The owner had started the task again by then, acknowledged the report and ignored it; the caller waited for the second run, and if that worker was lost too, the task started a third time although it had been done and acknowledged. Cause: RunTracker.ended applied a result only to the current run of a task. The class of fault: evidence about an earlier attempt is dropped because a later attempt exists. Evidence: ShardControllerTest.resultOfARunThatSeemedLostIsUsed and CrashingTaskTest.soundDurableJobIsNotGivenUpAfterItsWorkersWereCutOff with five cuts fail on the code before ("started after its result was acknowledged"). Why this works: a result with success ends the task whichever run it comes from, and the run that was started in its place is stopped.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -199,6 +199,13 @@
     if (task.isCurrent(result.run()) || mayHaveUnreportedRun(task)) {
       job.markStarted();
       apply(task, session, result, ranFor);
+    } else if (result.kind() == TaskRunResult.Kind.DONE && task.phase() != Task.Phase.DONE) {
+      // The run seemed lost. A run that was started in its place is needless.
+      if (task.phase() == Task.Phase.ASSIGNED) {
+        task.worker().stop(task.run());
+      }
+      job.markTaskDone(task);
+      continueJob(task);
     }
   }
 
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
@@ -202,7 +202,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(ints = {2, 3})
+  @ValueSource(ints = {2, 3, 5})
   void soundDurableJobIsNotGivenUpAfterItsWorkersWereCutOff(int cuts) {
     fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
     OwnerVm owner = startOwner("first");
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardControllerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardControllerTest.java
@@ -274,6 +274,29 @@
     assertThat(fleet.observer.violations()).isEmpty();
   }
 
+  /** The worker ends the run while it is cut off, and the task has been started elsewhere since. */
+  @Test
+  void resultOfARunThatSeemedLostIsUsed() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(600)));
+    OwnerVm owner = fleet.vm("first").takeOverShard().orElseThrow();
+    advanceMillis(50);
+    owner.submit(FakeFleet.job("job-1", 1, 600, false));
+    advanceMillis(300);
+    FakeWorker cutOff =
+        fleet.workers.stream()
+            .filter(worker -> worker.runningTasks() > 0)
+            .findFirst()
+            .orElseThrow();
+    fleet.network.setPath("first", cutOff, FakeNetwork.Path.RESET);
+    advanceMillis(1200);
+    assertThat(fleet.observer.starts()).hasSize(2);
+    fleet.network.setPath("first", cutOff, FakeNetwork.Path.OPEN);
+    advanceMillis(150);
+
+    assertThat(owner.state("job-1")).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.workers.stream().mapToInt(FakeWorker::runningTasks).sum()).isZero();
+  }
+
   @Test
   void drainingWorkerGetsNoFurtherTasks() {
     OwnerVm owner = fleet.vm("first").takeOverShard().orElseThrow();
