Count the runs of unknown jobs until they have stopped

What callers saw: nothing yet; the deployments of today have workers that reject what does not fit. On a worker that starts whatever it is told, a new owner could start tasks beside runs that it was just stopping, and bring the worker over its capacity. Cause: a run whose job the owner does not know was recorded with no resources. While it waited for its job, the worker got no task; once it was to be stopped because that time had passed, it counted as nothing until it had ended. The class of fault: unknown is stored as zero. Why this works: a worker with a run of unknown size gets no task and no longer lease until the run has ended, whether it waits for its job or is being stopped. A run of a known job counts with the size of its task, also if this owner does not continue it.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -106,7 +106,7 @@
       task.get().job().markStarted();
     }
     return new RunListener.InheritedRunDecision(
-        continues, adopt ? task.get().step().request() : Resources.NONE);
+        continues, task.map(known -> known.step().request()).orElse(Resources.NONE));
   }
 
   /** Assigns the runs that a former owner started to the resubmitted job. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -223,9 +223,9 @@
   }
 
   /**
-   * Returns whether a run is active whose job is unknown. A former owner may treat the run as lost
-   * when the lease it granted expires. The lease must therefore not be extended, and a start
-   * request would extend it.
+   * Returns whether a run is active whose job is unknown, and thus the resources that it uses until
+   * it has ended. A former owner may treat the run as lost when the lease it granted expires. The
+   * lease must therefore not be extended, and a start request would extend it.
    */
   private boolean hasUnclaimedRuns() {
     return runs.any(ActiveRun::unclaimed);
@@ -551,7 +551,7 @@
 
   private void addInheritedRun(TaskRun run) {
     RunListener.InheritedRunDecision decision = listener.inheritedRunReported(this, run);
-    boolean unclaimed = decision.continues() && decision.resources().equals(Resources.NONE);
+    boolean unclaimed = decision.resources().equals(Resources.NONE);
     runs.add(run, ActiveRun.inherited(decision.resources(), unclaimed, timer.nanoTime()));
     if (!decision.continues()) {
       stop(run);
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Test;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobState;
-import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeNetwork;
 import org.lovagerack.fleet.support.FakeStore;
@@ -211,22 +210,12 @@
     assertThat(fleet.observer.violations()).isEmpty();
   }
 
-  /** Takes over the shard without waiting for a lease to expire, as from a terminated process. */
   private OwnedShard takeOverWithoutWaiting(
       FakeFleet.Vm vm, Optional<LeaseRecord> lastKnown, Collection<WorkerEntry> known) {
-    List<ShardLease.Result> results = new ArrayList<>();
-    vm.lease().takeOver(lastKnown, results::add);
-    advanceMillis(20);
-    OwnedShard shard = ((ShardLease.TakenOver) results.getFirst()).shard();
-    shard.start(known, () -> {});
-    return shard;
+    return Takeovers.withoutWaiting(fleet, vm, lastKnown, known);
   }
 
   private LeaseRecord storedLease() {
-    try {
-      return LeaseRecord.decode(fleet.store.rows().get(ShardRows.of(0).lease()).value());
-    } catch (MalformedRecordException e) {
-      throw new AssertionError(e);
-    }
+    return Takeovers.storedLease(fleet);
   }
 }
