Wait for the capacity of a restarted worker before using it

A worker that restarts under its identity may return with another capacity. It reports to the owner at once, while the directory lists the former process for up to one and a half seconds. Cause: reports and directory entries were combined without regard to the process that they come from. The class of fault: two sources of different age are read as one. Evidence: WorkerCapacityTest.restartedWorkerIsNotUsedBeforeItsCapacityIsKnown fails on the code before with a start over the capacity. Why this works: a worker gets tasks only while its report and its entry name the same process; where either does not name any, it is used as before.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -146,6 +146,7 @@
 
   boolean acceptsTasks() {
     return serving()
+        && hasKnownCapacity()
         && !hasUnclaimedRuns()
         && !runs.any(ActiveRun::alone)
         && startBackoff.hasElapsed();
@@ -231,6 +232,11 @@
     return runs.any(ActiveRun::unclaimed);
   }
 
+  /** Returns whether the directory lists the process that reports, whose capacity may differ. */
+  private boolean hasKnownCapacity() {
+    return incarnation == 0 || entry.incarnation() == 0 || incarnation == entry.incarnation();
+  }
+
   /** Stops a run; its result is reported like any other. */
   void stop(TaskRun run) {
     ActiveRun active = runs.get(run);
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerCapacityTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerCapacityTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeNetwork;
+import org.lovagerack.fleet.support.FakeWorker;
 import org.lovagerack.fleet.support.OwnerVm;
 
 /** Workers that accept every start, so that the owner alone keeps them within their capacity. */
@@ -107,4 +108,23 @@
     assertThat(fleet.observer.violations()).isEmpty();
     assertThat(fleet.observer.starts()).hasSize(8);
   }
+
+  /** The directory still lists the capacity of the former process. */
+  @Test
+  void restartedWorkerIsNotUsedBeforeItsCapacityIsKnown() {
+    OwnerVm owner = fleet.vm("first").takeOverShard().orElseThrow();
+    advanceMillis(50);
+    FakeWorker restarted = fleet.workers.getFirst();
+    restarted.restart();
+    restarted.setRoom(1, false);
+    // The owner hears of the new process with the next report.
+    advanceMillis(1100);
+    submitJobs(owner, "job-", 4);
+    advanceMillis(200);
+    fleet.list(restarted);
+    advanceMillis(5000);
+
+    assertThat(fleet.observer.violations()).isEmpty();
+    assertThat(fleet.observer.starts()).hasSize(8).anyMatch(start -> start.startsWith("a0 "));
+  }
 }
