Do not take a held-back task for a sign of overload

Cause: OverloadDetector asks for a timely job that may start, and a job may start as far as ownership goes, although none of its tasks may. Evidence: CrashingTaskTest.jobsAreNotRefusedBecauseATaskWaitsForTheCauseOfItsLosses fails on the code before (OVERLOADED instead of COMPLETED). Why this works: a job all of whose waiting tasks are held back does not count.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
@@ -84,6 +84,13 @@
     return RestartPolicy.decide(task.losses(), useful, timer.nanoTime());
   }
 
+  /** Returns whether no task of a queued job may start now because of lost runs. */
+  boolean isHeldBack(Job job) {
+    return job.tasks().stream()
+        .filter(task -> task.phase() == Task.Phase.WAITING)
+        .allMatch(task -> decide(task) == RestartPolicy.Decision.WAIT);
+  }
+
   /** Ends the job of a task that is not to be repeated; returns whether it did. */
   boolean endIfNotRepeated(Task task) {
     if (task.phase() != Task.Phase.WAITING || task.job().phase() != Job.Phase.ACTIVE) {
@@ -122,7 +129,7 @@
 
   /** Finds out what became of the workers of lost runs, and gives up tasks accordingly. */
   void check() {
-    affected.removeIf(task -> !registry.find(task.id()).filter(task::equals).isPresent());
+    affected.removeIf(task -> registry.find(task.id()).filter(task::equals).isEmpty());
     for (Task task : List.copyOf(affected)) {
       if (task.losses().unexplained()) {
         explain(task);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -302,7 +302,11 @@
     long now = dependencies.timer().nanoTime();
     overloadDetector.recordCheck(
         registry.queue().inOrder(now).stream()
-            .anyMatch(job -> TaskQueue.canMeetObjective(job, now) && mayStart(job)));
+            .anyMatch(
+                job ->
+                    TaskQueue.canMeetObjective(job, now)
+                        && mayStart(job)
+                        && !losses.isHeldBack(job)));
     for (Job job : registry.all()) {
       if (job.bestEffort()) {
         boolean changed =
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
@@ -168,6 +168,24 @@
     assertThat(fleet.observer.violations()).isEmpty();
   }
 
+  /**
+   * Every worker is busy for longer than the objective of the last job, and shorter than its use.
+   */
+  @Test
+  void jobsAreNotRefusedBecauseATaskWaitsForTheCauseOfItsLosses() {
+    OwnerVm owner = startOwner("first");
+    owner.submit(FakeFleet.crashingJob("crashing", 1, 20_000, true));
+    advanceMillis(2500);
+    assertThat(fleet.observer.crashes("crashing")).isEqualTo(2);
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(450)));
+    owner.submit(FakeFleet.job("running", 12, 100, false));
+    advanceMillis(30);
+    List<JobAnswer> answers = owner.submit(FakeFleet.job("waiting", 4, 100, true));
+    advanceMillis(1200);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+  }
+
   @Test
   void nothingElseStartsOnTheWorkerOfARepeatedTask() {
     OwnerVm owner = startOwner("first");
