Look only at tasks that could start when a job is held back

A job of several steps was not recognized as held back, because the tasks of its later steps wait without having lost a run.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
@@ -84,10 +84,10 @@
     return RestartPolicy.decide(task.losses(), useful, timer.nanoTime());
   }
 
-  /** Returns whether no task of a queued job may start now because of lost runs. */
+  /** Returns whether every task of a queued job that could start is held back. */
   boolean isHeldBack(Job job) {
     return job.tasks().stream()
-        .filter(task -> task.phase() == Task.Phase.WAITING)
+        .filter(task -> task.phase() == Task.Phase.WAITING && job.isReady(task))
         .allMatch(task -> decide(task) == RestartPolicy.Decision.WAIT);
   }
 
