--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RestartPolicy.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RestartPolicy.java
@@ -28,7 +28,7 @@
 
   /**
    * Crashes after which a task is given up although it is not known whether the workers had started
-   * it. A sound task has one, if its worker crashes for another reason at that moment.
+   * it. A sound task meets one only if its worker crashes for another reason at that moment.
    */
   private static final int MAX_POSSIBLE_CRASHES = 4;
 
