--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/job/JobProgressCodecTest.java
@@ -0,0 +1,50 @@
+package org.lovagerack.fleet.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.foundation.data.Bytes;
+
+/** Tests the stored form of the progress of a job. */
+final class JobProgressCodecTest {
+
+  @Test
+  void progressIsReadAsItWasWritten() throws MalformedRecordException {
+    JobProgress progress =
+        new JobProgress(
+            List.of(0, 2),
+            Map.of(1, List.of(3, 10_001)),
+            Map.of(
+                4,
+                List.of(
+                    new LostRun("worker-1", "10.0.0.1:1", 17, true, true),
+                    new LostRun("worker-2", "10.0.0.2:1", 0, false, false))),
+            1_000);
+
+    assertThat(JobCodec.decodeProgress(JobCodec.encode(progress))).isEqualTo(progress);
+  }
+
+  @Test
+  void progressOfAVersionWithoutLostRunsIsRead() throws MalformedRecordException {
+    assertThat(JobCodec.decodeProgress(bytes("{\"done\":[1],\"failedRuns\":{}}")))
+        .isEqualTo(new JobProgress(List.of(1), Map.of(), Map.of(), 0));
+  }
+
+  @Test
+  void lostRunWithoutItsWorkerIsRejected() {
+    assertThatThrownBy(
+            () ->
+                JobCodec.decodeProgress(
+                    bytes("{\"done\":[],\"failedRuns\":{},\"lostRuns\":{\"0\":[{}]}}")))
+        .isInstanceOf(MalformedRecordException.class)
+        .hasMessageContaining("worker");
+  }
+
+  private static Bytes bytes(String json) {
+    return Bytes.copyOf(json.getBytes(StandardCharsets.UTF_8));
+  }
+}
