--- a/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/CrashingTaskTest.java
@@ -7,7 +7,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.support.FakeFleet;
@@ -203,19 +203,17 @@
   }
 
   @ParameterizedTest
-  @ValueSource(ints = {2, 3, 5})
-  void soundDurableJobIsNotGivenUpAfterItsWorkersWereCutOff(int cuts) {
+  @CsvSource({"2,RESET", "3,RESET", "5,RESET", "2,CUT", "3,CUT", "5,CUT"})
+  void soundDurableJobIsNotGivenUpAfterItsWorkersWereCutOff(int cuts, FakeNetwork.Path cut) {
     fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(1)));
     OwnerVm owner = startOwner("first");
     owner.submit(FakeFleet.job("sound", 1, 1000, false));
-    for (int cut = 0; cut < cuts; cut++) {
+    for (int count = 0; count < cuts; count++) {
       advanceMillis(300);
       fleet.workers.forEach(
           worker ->
               fleet.network.setPath(
-                  "first",
-                  worker,
-                  worker.runningTasks() > 0 ? FakeNetwork.Path.RESET : FakeNetwork.Path.OPEN));
+                  "first", worker, worker.runningTasks() > 0 ? cut : FakeNetwork.Path.OPEN));
       advanceMillis(1500);
     }
     fleet.workers.forEach(worker -> fleet.network.setPath("first", worker, FakeNetwork.Path.OPEN));
