Review: accepted jobs never start because no worker of their shard has the label

With two shards or more, a job whose required label only workers of another shard have is accepted and stays queued, though such a worker is ready and idle.

--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -27,6 +27,7 @@
       String[] folders = {arguments[1], arguments[2], arguments[3]};
       switch (arguments[0]) {
         case "unlisted-executor" -> UnlistedExecutor.run(folders);
+        case "rack-taken-away" -> RackTakenAway.run(folders);
         default -> throw new IllegalArgumentException("unknown case " + arguments[0]);
       }
       throw new IllegalStateException("the case gave no verdict");
