Review: a new owner starts a task again after its last attempt has failed

After a planned stop of the owner, a failed run that one executor lists is not counted if another executor has reported the next run of the task before.

--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -28,6 +28,7 @@
       switch (arguments[0]) {
         case "unlisted-executor" -> UnlistedExecutor.run(folders);
         case "rack-taken-away" -> RackTakenAway.run(folders);
+        case "failed-runs" -> FailedRuns.run(folders);
         default -> throw new IllegalArgumentException("unknown case " + arguments[0]);
       }
       throw new IllegalStateException("the case gave no verdict");
