Review: a sound stored job fails after two executors restarted behind a cut

A run whose lease has lapsed counts as crashed when its executor starts again later, and two such runs end the job as failed.

--- a/review/standin/Executor.java
+++ b/review/standin/Executor.java
@@ -165,6 +165,11 @@
     record.line("EXECUTOR", id, "crashed");
   }
 
+  /** Returns whether something runs. */
+  synchronized boolean busy() {
+    return !running.isEmpty();
+  }
+
   /** Reports that it drains; {@link #leave} ends it. */
   void drain() {
     draining = true;
--- a/review/standin/ForeignEntry.java
+++ b/review/standin/ForeignEntry.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Another writer leaves an entry among those of the executors whose address is no address. Then
+ * Not a case: another writer leaves an entry among those of the executors whose address is no address. Then
  * executors are added, and jobs that need their label are handed in.
  */
 final class ForeignEntry {
@@ -16,7 +16,7 @@
 
   private ForeignEntry() {}
 
-  static void run(String[] arguments) throws Exception {
+  public static void main(String[] arguments) throws Exception {
     Site site = new Site(arguments, 3);
     for (int index = 1; index <= EXECUTORS; index++) {
       site.executor("executor-" + index, "a", "r1-" + index);
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -30,7 +30,7 @@
         case "rack-taken-away" -> RackTakenAway.run(folders);
         case "failed-runs" -> FailedRuns.run(folders);
         case "executor-cut-off" -> ExecutorCutOff.run(folders);
-        case "foreign-entry" -> ForeignEntry.run(folders);
+        case "executors-reborn" -> ExecutorsReborn.run(folders);
         default -> throw new IllegalArgumentException("unknown case " + arguments[0]);
       }
       throw new IllegalStateException("the case gave no verdict");
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A small deployment: the store, executors, nodes of the system and clients. */
 final class Site {
@@ -12,7 +13,7 @@
   final Record record;
   final Store store = new Store();
   final Jobs jobs;
-  final List<Executor> executors = new ArrayList<>();
+  final List<Executor> executors = new CopyOnWriteArrayList<>();
   final List<Node> nodes = new ArrayList<>();
   final int attempts;
 
