--- a/review/standin/FailedRuns.java
+++ b/review/standin/FailedRuns.java
@@ -10,8 +10,8 @@
 final class FailedRuns {
 
   private static final int ATTEMPTS = 2;
-  private static final int FAILING_JOBS = 5;
-  private static final int SOUND_JOBS = 100;
+  private static final int FAILING_JOBS = 8;
+  private static final int SOUND_JOBS = 160;
   private static final int EXECUTORS = 12;
 
   private FailedRuns() {}
@@ -41,9 +41,9 @@
       boolean fails = count % 21 == 0;
       Jobs.Job job =
           site.jobs.create(
-              fails ? "ms=900 fail" : "ms=200",
+              fails ? "ms=1500 fail" : "ms=200",
               false,
-              List.of(fails ? new Jobs.Step(1, 9000, 900) : new Jobs.Step(1, 1000, 200)));
+              List.of(fails ? new Jobs.Step(1, 9000, 1500) : new Jobs.Step(1, 1000, 200)));
       if (fails) {
         failing.add(job);
       }
@@ -56,7 +56,7 @@
                   Thread.currentThread().interrupt();
                 }
               }));
-      Thread.sleep(5);
+      Thread.sleep(4);
     }
     for (Thread client : clients) {
       client.join();
--- a/review/trial.sh
+++ b/review/trial.sh
@@ -8,8 +8,9 @@
 JAVA_HOME=$(.ci/find-jdk) || exit 2
 name=$1
 shift
-folder=target/review-trials/$name-${*// /-}
-folder=${folder//,/-}
+words=$*
+words=${words//[ ,]/-}
+folder=target/review-trials/$name-$words
 rm -rf "$folder"
 mkdir -p "$folder/nodes"
 exec "$JAVA_HOME/bin/java" -Xmx512m -cp review/target/classes "review.$name" "$PWD" "$folder" "$folder/nodes" "$@"
