Let new owners count the unlisted workers of former owners

Cause: the view that an owner gives to the other VMs was made from the platform's list of workers, not from the owner's sessions. A worker whose entry had expired disappeared from it, although the owner still extended its lease. The next owner opened its recovery gate when the listed workers had reported, and started the tasks of the unlisted one elsewhere.

The same decision was also wrong for an owner that had no view of its predecessor, for one whose predecessor served for less than the time of a lease without knowing the workers before it, and before the list had been read after the takeover.

Change: the view is made from the sessions and says for which shards it is complete. OwnerWorkers keeps it with the term of its owner and its age; the gate opens early only if the view belongs to the term that is taken over, the list has been read since, and every session has reported. Otherwise it waits for the leases of former owners, as before.

Ruled out: keeping expired entries in each VM's copy of the list, which a VM that started later does not have.

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/FleetView.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/FleetView.java
@@ -1,6 +1,8 @@
 package org.lovagerack.fleet.entry;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.worker.WorkerEntry;
 
@@ -9,16 +11,32 @@
  * jobs when a network partition cuts them off from the owner.
  *
  * @param version number that changes whenever the contents change
- * @param workers workers of the owner's shards
+ * @param workers listed workers of the owner's shards
+ * @param unlistedWorkers workers of the owner's shards that the platform no longer lists but that
+ *     may still have active runs
+ * @param completeShards indexes of the owner's shards for which no other unlisted worker can have
+ *     active runs
  * @param entries entry VMs of one failure domain that are in contact with the owner
  */
-public record FleetView(long version, List<WorkerEntry> workers, List<EntryVm> entries) {
+public record FleetView(
+    long version,
+    List<WorkerEntry> workers,
+    List<WorkerEntry> unlistedWorkers,
+    Set<Integer> completeShards,
+    List<EntryVm> entries) {
 
   /** View without workers and entry VMs. */
-  public static final FleetView EMPTY = new FleetView(0, List.of(), List.of());
+  public static final FleetView EMPTY = new FleetView(0, List.of(), List.of(), Set.of(), List.of());
 
   public FleetView {
     workers = List.copyOf(workers);
+    unlistedWorkers = List.copyOf(unlistedWorkers);
+    completeShards = Set.copyOf(completeShards);
     entries = List.copyOf(entries);
   }
+
+  /** Returns the workers of the owner's shards, listed or not. */
+  public List<WorkerEntry> allWorkers() {
+    return Stream.concat(workers.stream(), unlistedWorkers.stream()).toList();
+  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/IslandController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/IslandController.java
@@ -2,11 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobService;
@@ -16,7 +13,6 @@
 import org.lovagerack.fleet.shard.ShardRows;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
-import org.lovagerack.fleet.worker.WorkerId;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
@@ -64,14 +60,6 @@
     view = newer;
   }
 
-  /** Returns all workers known to this VM; former owners may have started tasks on them. */
-  Collection<WorkerEntry> knownWorkers() {
-    Map<WorkerId, WorkerEntry> known = new HashMap<>();
-    view.workers().forEach(worker -> known.put(worker.id(), worker));
-    shardFactory.workers().directory().entries().forEach(worker -> known.put(worker.id(), worker));
-    return known.values();
-  }
-
   FleetView view() {
     return view;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -20,6 +22,7 @@
 import org.lovagerack.fleet.store.RowKey;
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.store.TableFollower;
+import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.foundation.timer.TimerService;
 
 /** Forwards each call to the owner of the job's shard, which may be this process. */
@@ -123,6 +126,8 @@
         peers,
         lease,
         new IslandController(timer, peers, factory, rows, self),
+        new OwnerWorkers(timer, shard),
+        () -> shardFactory.workers().directory().entries(),
         takeovers,
         shard);
   }
@@ -132,12 +137,28 @@
    * off: their workers, and the entry VMs of the given failure domain.
    */
   public FleetView view(String failureDomain) {
+    List<WorkerEntry> listed = new ArrayList<>();
+    List<WorkerEntry> unlisted = new ArrayList<>();
+    Set<Integer> complete = new HashSet<>();
+    for (int shard = 0; shard < trackers.size(); shard++) {
+      int index = shard;
+      trackers
+          .get(shard)
+          .ownedShard()
+          .ifPresent(
+              owned -> {
+                listed.addAll(owned.listedWorkers());
+                unlisted.addAll(owned.unlistedWorkers());
+                if (owned.knowsAllWorkers()) {
+                  complete.add(index);
+                }
+              });
+    }
     return new FleetView(
         viewVersion(failureDomain),
-        shardFactory.workers().directory().entries().stream()
-            .filter(
-                worker -> !trackers.isEmpty() && trackers.get(map.ofWorker(worker.id())).isOwner())
-            .toList(),
+        listed,
+        unlisted,
+        complete,
         shardFactory.entryLiveness().entries(failureDomain));
   }
 
@@ -146,7 +167,10 @@
     return self.id().incarnation()
         + shardFactory.workers().directory().version()
         + shardFactory.entryLiveness().version(failureDomain)
-        + trackers.stream().mapToLong(ShardOwnerTracker::ownedToken).sum();
+        + trackers.stream()
+            .flatMap(tracker -> tracker.ownedShard().stream())
+            .mapToLong(shard -> shard.token() + shard.workersVersion())
+            .sum();
   }
 
   /** Releases all shards and takes over no further ones. */
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
@@ -1,18 +1,23 @@
 package org.lovagerack.fleet.entry;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.FormerWorkers;
 import org.lovagerack.fleet.shard.LeaseRecord;
 import org.lovagerack.fleet.shard.OwnedShard;
 import org.lovagerack.fleet.shard.ShardLease;
 import org.lovagerack.fleet.store.StoredRow;
+import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
@@ -43,6 +48,8 @@
   private final PeerCalls peers;
   private final ShardLease lease;
   private final IslandController island;
+  private final OwnerWorkers ownerWorkers;
+  private final Supplier<Collection<WorkerEntry>> listedWorkers;
   private final TakeoverScheduler takeovers;
   private final int shard;
   private final Set<SubmissionRelay> relays = new LinkedHashSet<>();
@@ -57,17 +64,26 @@
   /** Whether the store could not be reached since the owner last answered. */
   private boolean cutOff;
 
+  /**
+   * Creates a tracker that does nothing until {@link #start}.
+   *
+   * @param listedWorkers returns the workers of all shards that this VM has seen listed
+   */
   ShardOwnerTracker(
       TimerService timer,
       PeerCalls peers,
       ShardLease lease,
       IslandController island,
+      OwnerWorkers ownerWorkers,
+      Supplier<Collection<WorkerEntry>> listedWorkers,
       TakeoverScheduler takeovers,
       int shard) {
     this.timer = timer;
     this.peers = peers;
     this.lease = lease;
     this.island = island;
+    this.ownerWorkers = ownerWorkers;
+    this.listedWorkers = listedWorkers;
     this.takeovers = takeovers;
     this.shard = shard;
   }
@@ -141,9 +157,9 @@
     return ownedShard != null;
   }
 
-  /** Returns the fencing token of this process as the owner, or 0. */
-  long ownedToken() {
-    return ownedShard == null ? 0 : ownedShard.token();
+  /** Returns the shard if this process owns it. */
+  Optional<OwnedShard> ownedShard() {
+    return Optional.ofNullable(ownedShard);
   }
 
   /** Returns the job service if this process serves the shard as its owner or island leader. */
@@ -228,6 +244,7 @@
     }
     probing = true;
     LeaseRecord probed = owner;
+    long sentNanos = timer.nanoTime();
     peers.probe(
         probed.ownerAddress(),
         probed.ownerIncarnation(),
@@ -235,18 +252,19 @@
         liveness -> {
           probing = false;
           if (ownedShard == null && probed.equals(owner)) {
-            handleProbe(probed, liveness);
+            handleProbe(probed, sentNanos, liveness);
           }
         });
   }
 
-  private void handleProbe(LeaseRecord target, PeerCalls.Liveness liveness) {
+  private void handleProbe(LeaseRecord target, long sentNanos, PeerCalls.Liveness liveness) {
     switch (liveness) {
       case PeerCalls.Alive alive -> {
         ownerResponded();
-        if (alive.viewVersion() != island.view().version()) {
-          peers.view(
-              target.ownerAddress(), target.ownerIncarnation(), PROBE_TIMEOUT, island::updateView);
+        if (alive.viewVersion() == island.view().version()) {
+          ownerWorkers.viewConfirmed(target, island.view(), sentNanos);
+        } else {
+          requestView(target);
         }
       }
       case PeerCalls.ProcessEnded ended -> {
@@ -270,6 +288,20 @@
     }
   }
 
+  private void requestView(LeaseRecord target) {
+    long sentNanos = timer.nanoTime();
+    peers.view(
+        target.ownerAddress(),
+        target.ownerIncarnation(),
+        PROBE_TIMEOUT,
+        newer -> {
+          island.updateView(newer);
+          if (ownedShard == null && target.equals(owner)) {
+            ownerWorkers.viewConfirmed(target, newer, sentNanos);
+          }
+        });
+  }
+
   /** Resets the failure state because the owner answered or was replaced. */
   private void ownerResponded() {
     unansweredProbes = 0;
@@ -331,8 +363,21 @@
         }
         island.end();
         ownedShard = taken.shard();
-        ownedShard.start(island.knownWorkers(), this::closeOwnedShard);
-        LOG.write(LogEvent.SHARD_TAKEN, "shard", shard, "token", ownedShard.token());
+        FormerWorkers former =
+            taken.firstTerm()
+                ? FormerWorkers.complete(List.of())
+                : ownerWorkers.before(taken.predecessor(), listedWorkers.get());
+        ownedShard.start(former, this::closeOwnedShard);
+        LOG.write(
+            LogEvent.SHARD_TAKEN,
+            "shard",
+            shard,
+            "token",
+            ownedShard.token(),
+            "formerWorkers",
+            former.workers().size(),
+            "complete",
+            former.complete());
         ownerReplaced();
       }
       case ShardLease.OwnedByOther other -> {
@@ -360,6 +405,12 @@
 
   private void closeOwnedShard() {
     if (ownedShard != null) {
+      ownerWorkers.ownTermEnded(
+          ownedShard.term(),
+          ownedShard.ownerIncarnation(),
+          Stream.concat(ownedShard.listedWorkers().stream(), ownedShard.unlistedWorkers().stream())
+              .toList(),
+          ownedShard.knowsAllWorkers());
       ownedShard.close();
       ownedShard = null;
     }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Island.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Island.java
@@ -21,7 +21,8 @@
    */
   public Island(
       OwnedShardFactory dependencies, ShardRows rows, long token, WorkerDirectory workers) {
-    this.controller = new ShardController(dependencies, rows, new IslandLog(token), workers);
+    this.controller =
+        new ShardController(dependencies, rows, new IslandLog(token), workers, () -> true);
   }
 
   /** Starts serving jobs. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -11,6 +11,8 @@
   private final ShardLog log;
   private final ShardController controller;
   private final WorkerFeed workers;
+  private final long term;
+  private final long ownerIncarnation;
   private Runnable lossListener = () -> {};
 
   OwnedShard(
@@ -20,6 +22,8 @@
       long leaseVersion,
       LeaseClock.Timestamp takenOverAt) {
     this.workers = dependencies.workers();
+    this.term = lease.term();
+    this.ownerIncarnation = lease.ownerIncarnation();
     this.log =
         new ShardLog(
             dependencies.timer(),
@@ -31,20 +35,21 @@
             takenOverAt,
             () -> lossListener.run());
     this.controller =
-        new ShardController(dependencies, rows, log, dependencies.workers().directory());
+        new ShardController(
+            dependencies, rows, log, dependencies.workers().directory(), workers::loaded);
     log.setTokenRaisedListener(controller::tokenRaised);
   }
 
   /**
    * Starts serving the shard.
    *
-   * @param known workers that a former owner may have used, whether or not they are still listed
+   * @param former workers that former owners may have used
    * @param onLost called once when another process has taken over the shard
    */
-  public void start(Collection<WorkerEntry> known, Runnable onLost) {
+  public void start(FormerWorkers former, Runnable onLost) {
     lossListener = onLost;
     workers.acquire();
-    controller.start(known);
+    controller.start(former);
   }
 
   /** Returns the fencing token. */
@@ -52,6 +57,36 @@
     return log.token();
   }
 
+  /** Returns the token that was granted at the start of the term. */
+  public long term() {
+    return term;
+  }
+
+  /** Returns the random number of the process that owns the shard. */
+  public long ownerIncarnation() {
+    return ownerIncarnation;
+  }
+
+  /** Returns the listed workers of the shard. */
+  public Collection<WorkerEntry> listedWorkers() {
+    return controller.workers(true);
+  }
+
+  /** Returns the workers of the shard that are not listed but may still have active runs. */
+  public Collection<WorkerEntry> unlistedWorkers() {
+    return controller.workers(false);
+  }
+
+  /** Returns whether no worker beside those of the shard can have active runs of its jobs. */
+  public boolean knowsAllWorkers() {
+    return controller.knowsAllWorkers();
+  }
+
+  /** Returns a number that grows when the workers or {@link #knowsAllWorkers} change. */
+  public long workersVersion() {
+    return controller.workersVersion();
+  }
+
   /** Returns whether the jobs that former owners stored have been read. */
   public boolean ready() {
     return controller.ready();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
@@ -19,8 +20,9 @@
 /**
  * Serves the jobs of a shard for one term: accepts jobs, places their tasks on workers and ends
  * them. It first recovers the jobs that former owners stored. Tasks of recovered jobs start only
- * when every worker has reported under the new token or every lease extended by a former owner has
- * expired. Before that, a task may still be running under a former owner.
+ * when every worker that a former owner may have used has reported under the new token, whether or
+ * not it is still listed, or every lease extended by a former owner has expired. Before that, a
+ * task may still be running under a former owner.
  *
  * <p>Durable jobs start and end only under a valid lease. Best-effort jobs continue while the store
  * is unavailable, as long as the entry VM with the client's connection is reachable.
@@ -72,15 +74,21 @@
   private final OverloadDetector overloadDetector = new OverloadDetector();
   private boolean recovered;
   private boolean workersReported;
+  private boolean formerLeasesExpired;
   private boolean closed;
 
   /**
    * Creates a controller.
    *
    * @param directory directory of the available workers
+   * @param workersListed returns whether the directory has been read since this owner's start
    */
   ShardController(
-      OwnedShardFactory dependencies, ShardRows rows, DecisionLog log, WorkerDirectory directory) {
+      OwnedShardFactory dependencies,
+      ShardRows rows,
+      DecisionLog log,
+      WorkerDirectory directory,
+      BooleanSupplier workersListed) {
     this.dependencies = dependencies;
     this.rows = rows;
     this.log = log;
@@ -131,6 +139,7 @@
             dependencies.mayUse(),
             dependencies.bounds(),
             log::token,
+            workersListed,
             runs,
             placer::request);
     placer.use(sessions);
@@ -155,15 +164,18 @@
   /**
    * Recovers the durable jobs and then opens the sessions with the workers.
    *
-   * @param known workers that a former owner may have used; empty if none are known
+   * @param former workers that former owners may have used
    */
-  void start(Collection<WorkerEntry> known) {
-    sessions.setExpectedWorkers(known);
+  void start(FormerWorkers former) {
+    sessions.setFormerWorkers(former);
     dependencies
         .timer()
         .after(
             LeaseLength.MAX_DURATION.plus(dependencies.bounds().workerLeaseExpiryBound()),
-            () -> openGate("the leases of former owners have expired"));
+            () -> {
+              formerLeasesExpired = true;
+              openGate("the leases of former owners have expired");
+            });
     new ShardRecovery(dependencies.timer(), dependencies.store(), rows, log.token(), () -> closed)
         .read(this::recover);
     dependencies.timer().after(SWEEP_PERIOD, this::sweep);
@@ -203,6 +215,20 @@
     }
   }
 
+  /** Returns the listed workers of the shard, or the others that may have active runs. */
+  Collection<WorkerEntry> workers(boolean listed) {
+    return sessions.entries(listed);
+  }
+
+  /** Returns whether no worker beside those of the sessions can have active runs of the shard. */
+  boolean knowsAllWorkers() {
+    return formerLeasesExpired || sessions.knowAllWorkers();
+  }
+
+  long workersVersion() {
+    return sessions.version() + (knowsAllWorkers() ? 1 : 0);
+  }
+
   boolean ready() {
     return recovered && !closed;
   }
@@ -228,8 +254,11 @@
   }
 
   private void openGateIfAllJoined() {
-    if (recovered && sessions.allJoined()) {
-      workersReported = true;
+    if (!recovered || !sessions.allJoined()) {
+      return;
+    }
+    workersReported = true;
+    if (sessions.knowAllWorkers()) {
       openGate("all workers have reported");
     }
   }
@@ -323,6 +352,7 @@
         }
       }
     }
+    openGateIfAllJoined();
     losses.check();
     dependencies.entryLiveness().removeUnreachable();
     placer.request();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLease.java
@@ -25,8 +25,11 @@
    * This process owns the shard.
    *
    * @param shard the shard, not started
+   * @param firstTerm whether the shard never had an owner before
+   * @param predecessor last lease of the former owner; empty if there is none or it is unreadable
    */
-  public record TakenOver(OwnedShard shard) implements Result {}
+  public record TakenOver(OwnedShard shard, boolean firstTerm, Optional<LeaseRecord> predecessor)
+      implements Result {}
 
   /**
    * Another process owns the shard.
@@ -171,11 +174,9 @@
   private void write(Optional<StoredRow> stored, Consumer<Result> callback) {
     // A malformed row has no token. Its version is used instead, because it increases with every
     // change of owner.
+    Optional<LeaseRecord> predecessor = stored.flatMap(ShardLease::decode);
     long token =
-        stored
-            .flatMap(ShardLease::decode)
-            .map(LeaseRecord::token)
-            .orElse(stored.map(StoredRow::version).orElse(0L));
+        predecessor.map(LeaseRecord::token).orElse(stored.map(StoredRow::version).orElse(0L));
     long granted = FencingTokens.next(token);
     LeaseRecord newLease =
         new LeaseRecord(granted, granted, 0, ownAddress, ownIncarnation, LeaseLength.MIN_DURATION);
@@ -195,7 +196,10 @@
             case CommitOutcome.Committed committed -> {
               timeout = INITIAL_TIMEOUT;
               callback.accept(
-                  new TakenOver(factory.create(rows, newLease, committed.version(), sentAt)));
+                  new TakenOver(
+                      factory.create(rows, newLease, committed.version(), sentAt),
+                      stored.isEmpty(),
+                      predecessor));
             }
             case CommitOutcome.Conflict conflict -> callback.accept(conflict(conflict));
             case CommitOutcome.NotApplied failure ->
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -124,6 +124,11 @@
     return suspect;
   }
 
+  /** Returns whether the directory lists the worker. */
+  boolean listed() {
+    return listed;
+  }
+
   /** Returns whether another process answers at the worker's address. */
   boolean processEnded() {
     return processEnded;
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -25,19 +26,22 @@
   private final Predicate<WorkerId> mayUse;
   private final FleetBounds bounds;
   private final LongSupplier token;
+  private final BooleanSupplier workersListed;
   private final RunListener listener;
   private final Runnable onDirectoryChange;
   private final Map<String, WorkerSession> sessions = new TreeMap<>();
   private final Consumer<WorkerId> directoryListener = this::directoryChanged;
   private final ActiveTasks activeTasks = new ActiveTasks();
   private final ResponseTimes responseTimes = new ResponseTimes();
-  private List<WorkerEntry> expectedWorkers = List.of();
+  private FormerWorkers formerWorkers = FormerWorkers.incomplete(List.of());
   private boolean opened;
+  private long version;
 
   /**
    * Creates the sessions of a controller; no request is sent before {@link #open}.
    *
    * @param mayUse selects the workers of the shard
+   * @param workersListed returns whether the directory has been read since the start of the owner
    * @param onDirectoryChange called after each change of the directory
    */
   WorkerSessions(
@@ -47,6 +51,7 @@
       Predicate<WorkerId> mayUse,
       FleetBounds bounds,
       LongSupplier token,
+      BooleanSupplier workersListed,
       RunListener listener,
       Runnable onDirectoryChange) {
     this.timer = timer;
@@ -55,16 +60,17 @@
     this.mayUse = mayUse;
     this.bounds = bounds;
     this.token = token;
+    this.workersListed = workersListed;
     this.listener = listener;
     this.onDirectoryChange = onDirectoryChange;
   }
 
   /**
-   * Sets the workers that a former owner may have used. The directory may no longer list some of
+   * Sets the workers that former owners may have used. The directory may no longer list some of
    * them because their entries expired while they could not reach the store.
    */
-  void setExpectedWorkers(Collection<WorkerEntry> known) {
-    expectedWorkers = List.copyOf(known);
+  void setFormerWorkers(FormerWorkers former) {
+    formerWorkers = former;
   }
 
   /**
@@ -72,9 +78,10 @@
    */
   void open() {
     opened = true;
+    version++;
     directory.addListener(directoryListener);
     directory.entries().forEach(this::add);
-    for (WorkerEntry entry : expectedWorkers) {
+    for (WorkerEntry entry : formerWorkers.workers()) {
       if (mayUse.test(entry.id()) && !sessions.containsKey(entry.id().value())) {
         add(entry);
         sessions.get(entry.id().value()).markUnlisted();
@@ -95,6 +102,7 @@
       if (session.isRemovable()) {
         session.close();
         sessions.remove(session.id().value());
+        version++;
         onRemoved.accept(session.id());
       }
     }
@@ -105,6 +113,35 @@
     return activeTasks.contains(task);
   }
 
+  /**
+   * Returns the workers that are listed, or those that are not listed and may have active runs.
+   * Before the sessions are opened, the latter include all workers that former owners used.
+   */
+  Collection<WorkerEntry> entries(boolean listed) {
+    if (!opened) {
+      return listed
+          ? List.of()
+          : formerWorkers.workers().stream().filter(entry -> mayUse.test(entry.id())).toList();
+    }
+    return sessions.values().stream()
+        .filter(session -> session.listed() == listed)
+        .map(WorkerSession::entry)
+        .toList();
+  }
+
+  /** Returns a number that grows when {@link #entries} changes. */
+  long version() {
+    return version;
+  }
+
+  /**
+   * Returns whether there is a session with every worker that a former owner may have used: those
+   * that it is known to have used, and those that were listed when this owner started.
+   */
+  boolean knowAllWorkers() {
+    return opened && formerWorkers.complete() && workersListed.getAsBoolean();
+  }
+
   Collection<WorkerSession> all() {
     return List.copyOf(sessions.values());
   }
@@ -136,7 +173,7 @@
 
   /** Returns whether every worker that a former owner may have used has reported its runs. */
   boolean allRunsReported() {
-    return !expectedWorkers.isEmpty()
+    return knowAllWorkers()
         && allJoined()
         && sessions.values().stream().noneMatch(WorkerSession::suspect);
   }
@@ -156,6 +193,7 @@
     if (!mayUse.test(id)) {
       return;
     }
+    version++;
     Optional<WorkerEntry> entry = directory.find(id);
     WorkerSession session = sessions.get(id.value());
     if (entry.isPresent() && session == null) {
--- a/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
@@ -53,6 +53,7 @@
   private Duration backoff = INITIAL_BACKOFF;
   private boolean unavailable;
   private boolean running;
+  private boolean loaded;
   private int generation;
 
   /**
@@ -82,10 +83,16 @@
   /** Reads the table and starts to wait for changes. */
   public void start() {
     running = true;
+    loaded = false;
     generation++;
     load();
   }
 
+  /** Returns whether the table has been read as a whole since the last start. */
+  public boolean loaded() {
+    return loaded;
+  }
+
   /** Stops reading; the listener is not called afterwards. */
   public void stop() {
     running = false;
@@ -145,6 +152,7 @@
       }
     }
     newestVersion = contents.oldestVersion;
+    loaded = true;
     listener.loaded();
     watch();
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerFeed.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerFeed.java
@@ -24,6 +24,11 @@
     return directory;
   }
 
+  /** Returns whether the list has been read as a whole since the first of the present users. */
+  public boolean loaded() {
+    return follower.loaded();
+  }
+
   /** Adds a user of the feed; the first one starts the follower. */
   public void acquire() {
     users++;
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/IslandControllerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/IslandControllerTest.java
@@ -46,7 +46,12 @@
 
   private void updateView(EntryVm... entries) {
     island.updateView(
-        new FleetView(1, fleet.workers.stream().map(FakeWorker::entry).toList(), List.of(entries)));
+        new FleetView(
+            1,
+            fleet.workers.stream().map(FakeWorker::entry).toList(),
+            List.of(),
+            Set.of(),
+            List.of(entries)));
   }
 
   private void setPaths(FakeNetwork.Path path) {
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/ShardOwnerTrackerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/ShardOwnerTrackerTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -35,6 +36,8 @@
           peers,
           vm.lease(),
           island,
+          new OwnerWorkers(fleet.timer, 0),
+          vm.directory::entries,
           new TakeoverScheduler(fleet.timer, new SplittableRandom(1), 1, () -> 0),
           0);
 
@@ -53,7 +56,12 @@
   void islandStartsWithinASecondOfAPartition() {
     storeOwner(1000, "owner");
     island.updateView(
-        new FleetView(1, fleet.workers.stream().map(FakeWorker::entry).toList(), List.of(self)));
+        new FleetView(
+            1,
+            fleet.workers.stream().map(FakeWorker::entry).toList(),
+            List.of(),
+            Set.of(),
+            List.of(self)));
     tracker.ownersLoaded();
     tracker.start();
     run(2950);
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -50,6 +50,8 @@
               vm.shardFactory,
               ShardRows.of(0),
               new EntryVm(vm.id, "entry", "a")),
+          new OwnerWorkers(fleet.timer, 0),
+          vm.directory::entries,
           new TakeoverScheduler(fleet.timer, new SplittableRandom(1), 1, () -> 0),
           0);
   private final List<JobAnswer> answers = new ArrayList<>();
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLeaseTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLeaseTest.java
@@ -48,7 +48,7 @@
     fleet.vm("first").lease().takeOver(Optional.empty(), results::add);
     advanceMillis(700);
     OwnedShard shard = ((ShardLease.TakenOver) results.getFirst()).shard();
-    shard.start(List.of(), () -> {});
+    shard.start(FormerWorkers.complete(List.of()), () -> {});
     advanceMillis(350);
 
     assertThat(shard.ready()).isTrue();
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/Takeovers.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/Takeovers.java
@@ -23,7 +23,7 @@
     vm.lease().takeOver(lastKnown, results::add);
     fleet.timer.advance(Duration.ofMillis(20));
     OwnedShard shard = ((ShardLease.TakenOver) results.getFirst()).shard();
-    shard.start(known, () -> {});
+    shard.start(FormerWorkers.complete(known), () -> {});
     return shard;
   }
 
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
@@ -188,16 +188,7 @@
     }
   }
 
-  private final class Recorder implements RunListener {
-    @Override
-    public void joined(WorkerSession session) {}
-
-    @Override
-    public RunListener.InheritedRunDecision inheritedRunReported(
-        WorkerSession session, TaskRun run) {
-      throw new IllegalStateException("the worker lists no run");
-    }
-
+  private final class Recorder extends IdleRunListener {
     @Override
     public void ended(
         WorkerSession session,
@@ -212,24 +203,9 @@
       lost.add(run);
     }
 
-    @Override
-    public void started(WorkerSession session, TaskRun run) {}
-
-    @Override
-    public void progressReported(
-        WorkerSession session, TaskRun run, int percent, Duration unchangedFor) {}
-
     @Override
     public void fenced(WorkerSession session, long usedToken) {
       token = 2000;
     }
-
-    @Override
-    public void resourcesFreed(WorkerSession session) {}
-
-    @Override
-    public boolean mayExtend(WorkerSession session) {
-      return true;
-    }
   }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/store/TableFollowerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/store/TableFollowerTest.java
@@ -66,6 +66,23 @@
     assertThat(rows).containsExactly(Map.entry("b", "1"));
   }
 
+  /** Rows that were read before a stop may have been replaced by others since. */
+  @Test
+  void restartedFollowerHasNotReadTheTable() {
+    follower.start();
+    run(100);
+    assertThat(follower.loaded()).isTrue();
+    follower.stop();
+    connection.setFault(FakeStore.Fault.REFUSED);
+    follower.start();
+    run(100);
+    assertThat(follower.loaded()).isFalse();
+    connection.setFault(FakeStore.Fault.NONE);
+    run(1000);
+
+    assertThat(follower.loaded()).isTrue();
+  }
+
   @Test
   void readsTheTableAgainWhenTheHistoryIsUnavailable() {
     store.put(key("a"), "1");
--- a/fleet/src/test/java/org/lovagerack/fleet/support/OwnerVm.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/OwnerVm.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.FormerWorkers;
 import org.lovagerack.fleet.shard.OwnedShard;
 
 /** Entry VM that owns the shard. */
@@ -21,7 +22,7 @@
   /** Starts to serve the shard. */
   public void start() {
     shard.start(
-        vm.directory.entries(),
+        FormerWorkers.complete(vm.directory.entries()),
         () -> {
           lost = true;
           shard.close();
--- a/node/src/main/java/org/lovagerack/node/peer/ViewCodec.java
+++ b/node/src/main/java/org/lovagerack/node/peer/ViewCodec.java
@@ -28,22 +28,11 @@
   static Buffer encode(FleetView view) {
     ObjectNode root = MAPPER.createObjectNode().put("version", view.version());
     ArrayNode workers = root.putArray("workers");
-    for (WorkerEntry worker : view.workers()) {
-      ObjectNode node =
-          workers
-              .addObject()
-              .put("id", worker.id().value())
-              .put("service", worker.service())
-              .put("address", worker.address())
-              .put("failureDomain", worker.failureDomain())
-              .put("draining", worker.draining())
-              .put("cpuMillicores", worker.capacity().cpuMillicores())
-              .put("memoryMegabytes", worker.capacity().memoryMegabytes())
-              .put("accelerators", worker.capacity().accelerators())
-              .put("incarnation", worker.incarnation());
-      ArrayNode labels = node.putArray("labels");
-      worker.labels().forEach(labels::add);
-    }
+    view.workers().forEach(worker -> encode(worker, workers.addObject()));
+    ArrayNode unlisted = root.putArray("unlistedWorkers");
+    view.unlistedWorkers().forEach(worker -> encode(worker, unlisted.addObject()));
+    ArrayNode complete = root.putArray("completeShards");
+    view.completeShards().forEach(complete::add);
     ArrayNode entries = root.putArray("entries");
     for (EntryVm entry : view.entries()) {
       entries
@@ -59,10 +48,44 @@
     }
   }
 
+  private static void encode(WorkerEntry worker, ObjectNode node) {
+    ArrayNode labels =
+        node.put("id", worker.id().value())
+            .put("service", worker.service())
+            .put("address", worker.address())
+            .put("failureDomain", worker.failureDomain())
+            .put("draining", worker.draining())
+            .put("cpuMillicores", worker.capacity().cpuMillicores())
+            .put("memoryMegabytes", worker.capacity().memoryMegabytes())
+            .put("accelerators", worker.capacity().accelerators())
+            .put("incarnation", worker.incarnation())
+            .putArray("labels");
+    worker.labels().forEach(labels::add);
+  }
+
   static FleetView decode(Buffer body) throws IOException {
     JsonNode root = MAPPER.readTree(body.getBytes());
+    Set<Integer> complete = new HashSet<>();
+    root.path("completeShards").forEach(shard -> complete.add(shard.asInt()));
+    List<EntryVm> entries = new ArrayList<>();
+    for (JsonNode node : root.path("entries")) {
+      entries.add(
+          new EntryVm(
+              new EntryId(node.path("incarnation").asLong()),
+              node.path("address").asText(),
+              node.path("failureDomain").asText()));
+    }
+    return new FleetView(
+        root.path("version").asLong(),
+        decodeWorkers(root.path("workers")),
+        decodeWorkers(root.path("unlistedWorkers")),
+        complete,
+        entries);
+  }
+
+  private static List<WorkerEntry> decodeWorkers(JsonNode array) {
     List<WorkerEntry> workers = new ArrayList<>();
-    for (JsonNode node : root.path("workers")) {
+    for (JsonNode node : array) {
       Set<String> labels = new HashSet<>();
       node.path("labels").forEach(label -> labels.add(label.asText()));
       workers.add(
@@ -79,14 +102,6 @@
               labels,
               node.path("incarnation").asLong()));
     }
-    List<EntryVm> entries = new ArrayList<>();
-    for (JsonNode node : root.path("entries")) {
-      entries.add(
-          new EntryVm(
-              new EntryId(node.path("incarnation").asLong()),
-              node.path("address").asText(),
-              node.path("failureDomain").asText()));
-    }
-    return new FleetView(root.path("version").asLong(), workers, entries);
+    return workers;
   }
 }
--- a/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
+++ b/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
@@ -24,21 +24,26 @@
     FleetView view =
         new FleetView(
             41,
-            List.of(
-                new WorkerEntry(
-                    new WorkerId("w"),
-                    "s",
-                    "10.0.0.1:80",
-                    "a",
-                    true,
-                    new Resources(16_000, 1024, 2),
-                    Set.of("x", "y"),
-                    17)),
+            List.of(worker("w")),
+            List.of(worker("v"), worker("u")),
+            Set.of(0, 7),
             List.of(new EntryVm(new EntryId(-5), "10.0.0.2:80", "b")));
 
     assertThat(ViewCodec.decode(ViewCodec.encode(view))).isEqualTo(view);
   }
 
+  private static WorkerEntry worker(String id) {
+    return new WorkerEntry(
+        new WorkerId(id),
+        "s",
+        "10.0.0.1:80",
+        "a",
+        true,
+        new Resources(16_000, 1024, 2),
+        Set.of("x", "y"),
+        17);
+  }
+
   @Test
   void everyAnswerSurvivesRoundTrip() throws Exception {
     List<JobAnswer> answers =
