--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -13,8 +14,11 @@
 import java.util.stream.IntStream;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.Neighbours;
+import org.lovagerack.fleet.shard.OwnedShard;
 import org.lovagerack.fleet.shard.OwnedShardFactory;
 import org.lovagerack.fleet.shard.ShardLease;
 import org.lovagerack.fleet.shard.ShardMap;
@@ -23,6 +27,7 @@
 import org.lovagerack.fleet.store.StoredRow;
 import org.lovagerack.fleet.store.TableFollower;
 import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.fleet.worker.WorkerId;
 import org.lovagerack.foundation.timer.TimerService;
 
 /** Forwards each call to the owner of the job's shard, which may be this process. */
@@ -94,7 +99,9 @@
     map = shardMap;
     trackers =
         IntStream.range(0, map.shards())
-            .mapToObj(shard -> newTracker(shardFactory.forShard(map, shard), shard))
+            .mapToObj(
+                shard ->
+                    newTracker(shardFactory.forShard(map, shard, new OtherShards(shard)), shard))
             .toList();
     new TableFollower(
             timer,
@@ -212,6 +219,13 @@
     return tracker(jobId).flatMap(ShardOwnerTracker::localJobs);
   }
 
+  /** Returns the host of jobs of other shards if this process owns a shard. */
+  public Optional<JobHost> localHost(int shard) {
+    return shard >= 0 && shard < trackers.size()
+        ? trackers.get(shard).ownedShard().map(OwnedShard::host)
+        : Optional.empty();
+  }
+
   /** Counts the pending jobs of a queue in the shards that this process serves. */
   public void localPending(String queueName, Consumer<JobAnswer> callback) {
     PendingJobCounter.count(
@@ -294,6 +308,30 @@
     return trackers.isEmpty() ? Optional.empty() : Optional.of(trackers.get(map.ofJob(jobId)));
   }
 
+  private final class OtherShards implements Neighbours {
+    private final int shard;
+
+    OtherShards(int shard) {
+      this.shard = shard;
+    }
+
+    @Override
+    public boolean isHome(String jobId) {
+      return map.ofJob(jobId) == shard;
+    }
+
+    @Override
+    public OptionalInt otherShardOf(WorkerId worker) {
+      int other = map.ofWorker(worker);
+      return other == shard ? OptionalInt.empty() : OptionalInt.of(other);
+    }
+
+    @Override
+    public Optional<JobHost> host(int other) {
+      return trackers.get(other).host();
+    }
+  }
+
   private final class OwnerListener implements TableFollower.Listener {
 
     @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/PeerCalls.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/PeerCalls.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 
 /** Calls to other entry VMs. */
@@ -34,4 +35,9 @@
    * refusal when the call was certainly not received.
    */
   JobService jobsAt(String address, long incarnation);
+
+  /**
+   * Returns the service for jobs of other shards of the process at an address, which owns a shard.
+   */
+  JobHost hostAt(String address, long incarnation, int shard);
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
@@ -153,6 +154,17 @@
     return Optional.of(peers.jobsAt(owner.ownerAddress(), owner.ownerIncarnation()));
   }
 
+  /** Returns the shard's owner as the host of jobs of other shards. */
+  Optional<JobHost> host() {
+    if (ownedShard != null) {
+      return Optional.of(ownedShard.host());
+    }
+    if (owner == null || owner.vacant() || lease.isOwn(owner)) {
+      return Optional.empty();
+    }
+    return Optional.of(peers.hostAt(owner.ownerAddress(), owner.ownerIncarnation(), shard));
+  }
+
   boolean isOwner() {
     return ownedShard != null;
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobAnswer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobAnswer.java
@@ -26,6 +26,13 @@
    */
   record Pending(long jobs) implements JobAnswer {}
 
+  /**
+   * A transferred job was handed back, because the workers of its host cannot run its tasks.
+   *
+   * @param handback state of the job
+   */
+  record HandedBack(Handback handback) implements JobAnswer {}
+
   /** There is no such job. */
   record UnknownJob() implements JobAnswer {}
 
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.lovagerack.fleet.configuration.Queue;
 import org.lovagerack.foundation.data.Bytes;
@@ -24,6 +25,10 @@
 
   /** Encodes a job. */
   public static Bytes encode(SubmittedJob job) {
+    return bytes(jobNode(job));
+  }
+
+  private static ObjectNode jobNode(SubmittedJob job) {
     ObjectNode node = MAPPER.createObjectNode();
     node.put("id", job.id());
     node.put("acceptedByToken", job.acceptedByToken());
@@ -32,7 +37,10 @@
     node.put("bestEffort", job.spec().bestEffort());
     ArrayNode steps = node.putArray("steps");
     job.spec().steps().forEach(step -> steps.add(stepNode(step)));
-    return bytes(node);
+    if (!job.site().equals(JobSite.ORIGIN)) {
+      node.set("site", siteNode(job.site()));
+    }
+    return node;
   }
 
   /**
@@ -41,7 +49,10 @@
    * @throws MalformedRecordException if a field is missing or out of range
    */
   public static SubmittedJob decodeJob(Bytes encoded) throws MalformedRecordException {
-    JsonNode node = parse(encoded);
+    return job(parse(encoded));
+  }
+
+  private static SubmittedJob job(JsonNode node) throws MalformedRecordException {
     List<StepSpec> steps = new ArrayList<>();
     try {
       for (JsonNode step : field(node, "steps")) {
@@ -52,14 +63,94 @@
           queue(field(node, "queue")),
           field(node, "acceptedByToken").asLong(),
           new JobSpec(
-              field(node, "specification").asText(), steps, field(node, "bestEffort").asBoolean()));
+              field(node, "specification").asText(), steps, field(node, "bestEffort").asBoolean()),
+          node.has("site") ? site(node.get("site")) : JobSite.ORIGIN);
     } catch (IllegalArgumentException e) {
       throw new MalformedRecordException("invalid job: " + e.getMessage(), e);
     }
   }
 
+  private static ObjectNode siteNode(JobSite site) {
+    ObjectNode node =
+        MAPPER
+            .createObjectNode()
+            .put("transfers", site.transfers())
+            .put("firstRun", site.firstRun());
+    switch (site) {
+      case JobSite.Home home -> node.put("kind", "home");
+      case JobSite.Transferred transferred ->
+          node.put("kind", "transferred").put("hostShard", transferred.hostShard());
+      case JobSite.Hosted hosted -> node.put("kind", "hosted");
+    }
+    return node;
+  }
+
+  private static JobSite site(JsonNode node) throws MalformedRecordException {
+    int transfers = field(node, "transfers").asInt();
+    int firstRun = field(node, "firstRun").asInt();
+    String kind = field(node, "kind").asText();
+    return switch (kind) {
+      case "home" -> new JobSite.Home(transfers, firstRun);
+      case "transferred" ->
+          new JobSite.Transferred(field(node, "hostShard").asInt(), transfers, firstRun);
+      case "hosted" -> new JobSite.Hosted(transfers, firstRun);
+      default -> throw new MalformedRecordException("unknown site of a job: " + kind);
+    };
+  }
+
+  /** Encodes a request to the host of a job. */
+  public static Bytes encode(HostRequest request) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.set("job", jobNode(request.job()));
+    node.set("progress", progressNode(request.progress()));
+    node.put("cancel", request.cancel());
+    return bytes(node);
+  }
+
+  /**
+   * Decodes a request to the host of a job.
+   *
+   * @throws MalformedRecordException if a field is missing or out of range
+   */
+  public static HostRequest decodeHostRequest(Bytes encoded) throws MalformedRecordException {
+    JsonNode node = parse(encoded);
+    return new HostRequest(
+        job(field(node, "job")),
+        progress(field(node, "progress")),
+        field(node, "cancel").asBoolean());
+  }
+
+  /** Encodes the state of a job that was handed back. */
+  public static Bytes encode(Handback handback) {
+    return bytes(handbackNode(handback));
+  }
+
+  /**
+   * Decodes the state of a job that was handed back.
+   *
+   * @throws MalformedRecordException if a field is missing or out of range
+   */
+  public static Handback decodeHandback(Bytes encoded) throws MalformedRecordException {
+    return handback(parse(encoded));
+  }
+
+  private static ObjectNode handbackNode(Handback handback) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.set("progress", progressNode(handback.progress()));
+    node.put("nextRun", handback.nextRun());
+    return node;
+  }
+
+  private static Handback handback(JsonNode node) throws MalformedRecordException {
+    return new Handback(progress(field(node, "progress")), field(node, "nextRun").asInt());
+  }
+
   /** Encodes progress. */
   public static Bytes encode(JobProgress progress) {
+    return bytes(progressNode(progress));
+  }
+
+  private static ObjectNode progressNode(JobProgress progress) {
     ObjectNode node = MAPPER.createObjectNode();
     ArrayNode done = node.putArray("done");
     progress.doneTasks().forEach(done::add);
@@ -80,7 +171,7 @@
               runs.forEach(run -> array.add(lostRunNode(run)));
             });
     node.put("storedAtMillis", progress.storedAtMillis());
-    return bytes(node);
+    return node;
   }
 
   /**
@@ -89,7 +180,10 @@
    * @throws MalformedRecordException if a field is missing or out of range
    */
   public static JobProgress decodeProgress(Bytes encoded) throws MalformedRecordException {
-    JsonNode node = parse(encoded);
+    return progress(parse(encoded));
+  }
+
+  private static JobProgress progress(JsonNode node) throws MalformedRecordException {
     List<Integer> done = integers(field(node, "done"));
     Map<Integer, List<Integer>> failedRuns = new TreeMap<>();
     for (Map.Entry<String, JsonNode> entry : field(node, "failedRuns").properties()) {
@@ -139,6 +233,7 @@
     ObjectNode node = MAPPER.createObjectNode();
     node.put("state", job.state().name().toLowerCase(Locale.ROOT));
     node.put("endedAtMillis", job.endedAtMillis());
+    job.handback().ifPresent(handback -> node.set("handback", handbackNode(handback)));
     return bytes(node);
   }
 
@@ -149,6 +244,12 @@
    */
   public static EndedJob decodeEnded(Bytes encoded) throws MalformedRecordException {
     JsonNode node = parse(encoded);
+    if (node.has("handback")) {
+      return new EndedJob(
+          JobState.QUEUED,
+          field(node, "endedAtMillis").asLong(),
+          Optional.of(handback(node.get("handback"))));
+    }
     String name = field(node, "state").asText();
     for (JobState state : JobState.values()) {
       if (state.ended() && state.name().toLowerCase(Locale.ROOT).equals(name)) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EndedJobs.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EndedJobs.java
@@ -52,6 +52,11 @@
     bestEffort.put(jobId, end);
   }
 
+  /** Returns the stored end of a durable job. */
+  Optional<EndedJob> find(String key) {
+    return Optional.ofNullable(durable.get(key));
+  }
+
   Optional<JobState> state(String jobId) {
     EndedJob end = durable.getOrDefault(jobId, bestEffort.get(jobId));
     return Optional.ofNullable(end).map(EndedJob::state);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/EntryLiveness.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/EntryLiveness.java
@@ -40,6 +40,11 @@
     this.self = self;
   }
 
+  /** Returns the identifier of this process. */
+  EntryId self() {
+    return self;
+  }
+
   /** Records a call from an entry VM. */
   public void recordContact(EntryVm vm) {
     if (contacts.put(vm.id(), new Contact(vm, clock.now())) == null) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Island.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Island.java
@@ -22,7 +22,8 @@
   public Island(
       OwnedShardFactory dependencies, ShardRows rows, long token, WorkerDirectory workers) {
     this.controller =
-        new ShardController(dependencies, rows, new IslandLog(token), workers, () -> true);
+        new ShardController(
+            dependencies.withoutNeighbours(), rows, new IslandLog(token), workers, () -> true);
   }
 
   /** Starts serving jobs. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -11,6 +11,7 @@
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobProgress;
+import org.lovagerack.fleet.job.JobSite;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.LostRun;
 import org.lovagerack.fleet.job.Objective;
@@ -39,7 +40,7 @@
    */
   record Waiter(Optional<EntryId> entry, Consumer<JobAnswer> callback) {}
 
-  private final SubmittedJob submitted;
+  private SubmittedJob submitted;
   private final long acceptedNanos;
   private final boolean recovered;
   private final boolean repeated;
@@ -63,7 +64,8 @@
     this.estimatedCriticalPath = Objective.estimatedCriticalPath(submitted.spec());
     this.objective = Objective.of(submitted.queue(), submitted.spec());
     this.phase = recovered ? Phase.ACTIVE : Phase.STORING;
-    this.nextRun = RunNumbers.first(submitted.acceptedByToken(), token);
+    this.nextRun =
+        RunNumbers.first(submitted.acceptedByToken(), token) + submitted.site().firstRun() - 1;
     this.remainingInStep = new int[submitted.spec().steps().size()];
     for (int step = 0; step < remainingInStep.length; step++) {
       StepSpec spec = submitted.spec().steps().get(step);
@@ -86,6 +88,42 @@
     return submitted.spec().bestEffort();
   }
 
+  /** Returns where the tasks run. */
+  JobSite site() {
+    return submitted.site();
+  }
+
+  void site(JobSite newSite) {
+    submitted = submitted.withSite(newSite);
+  }
+
+  /** Returns whether another shard runs the tasks. */
+  boolean transferred() {
+    return site() instanceof JobSite.Transferred;
+  }
+
+  /** Returns whether the job was accepted by another shard. */
+  boolean hosted() {
+    return site() instanceof JobSite.Hosted;
+  }
+
+  /** Returns the key of the job's final state in this shard. */
+  String endKey() {
+    return endKey(submitted);
+  }
+
+  /** Returns the key of a job's final state; each transfer to a host ends separately. */
+  static String endKey(SubmittedJob job) {
+    return job.site() instanceof JobSite.Hosted hosted
+        ? job.id() + "@" + hosted.transfers()
+        : job.id();
+  }
+
+  /** Returns the answer to those who wait for the end of the job. */
+  JobAnswer finalAnswer() {
+    return bestEffort() || hosted() ? new JobAnswer.State(finalState) : new JobAnswer.Cancelled();
+  }
+
   SubmittedJob submitted() {
     return submitted;
   }
@@ -167,6 +205,11 @@
     return nextRun++;
   }
 
+  /** Returns a number greater than those of all runs so far. */
+  int upcomingRunNumber() {
+    return nextRun;
+  }
+
   /** Ensures that later runs have numbers greater than {@code run}. */
   void skipRunNumber(int run) {
     nextRun = Math.max(nextRun, run + 1);
@@ -263,10 +306,15 @@
             });
   }
 
-  /** Restores the whole progress of a durable job. */
+  /** Restores the whole progress of a durable job that has started. */
   void restore(JobProgress progress, long nowNanos) {
-    restoreLosses(progress, nowNanos);
     started = true;
+    restoreTransferred(progress, nowNanos);
+  }
+
+  /** Restores the whole progress of a durable job that may not have started. */
+  void restoreTransferred(JobProgress progress, long nowNanos) {
+    restoreLosses(progress, nowNanos);
     for (int number : progress.doneTasks()) {
       if (number >= 0 && number < tasks.size()) {
         markTaskDone(tasks.get(number));
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lovagerack.fleet.job.EndedJob;
+import org.lovagerack.fleet.job.Handback;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobState;
@@ -41,6 +44,7 @@
   private final EndedJobs ended;
   private final LossRecords lossRecords;
   private final JobCounters counters;
+  private Consumer<Job> releaseListener = job -> {};
 
   JobFinalizer(
       TimerService timer,
@@ -61,6 +65,11 @@
     this.counters = counters;
   }
 
+  /** Sets the listener of transferred best-effort jobs that end here. */
+  void setReleaseListener(Consumer<Job> listener) {
+    releaseListener = listener;
+  }
+
   /** Starts the periodic removal of expired jobs. */
   void start() {
     timer.after(EXPIRY_PERIOD, this::removeExpired);
@@ -92,17 +101,71 @@
       removals.add(rows.progress(job.id()));
     }
     append(
-        List.of(new RowWrite(rows.ended(job.id()), JobCodec.encode(record))),
+        List.of(new RowWrite(rows.ended(job.endKey()), JobCodec.encode(record))),
         removals,
         false,
         "end of job " + job.id(),
         () -> {
-          ended.putDurable(job.id(), record);
+          ended.putDurable(job.endKey(), record);
           finish(job);
         },
         () -> answer(job, new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)));
   }
 
+  /** Hands a hosted job back to the shard that accepted it, which continues it. */
+  void handBack(Job job) {
+    job.phase(Job.Phase.ENDING);
+    registry.queue().remove(job);
+    long now = wallMillis.getAsLong();
+    EndedJob record =
+        new EndedJob(
+            JobState.QUEUED,
+            now,
+            Optional.of(new Handback(job.progress(now), job.upcomingRunNumber())));
+    append(
+        List.of(new RowWrite(rows.ended(job.endKey()), JobCodec.encode(record))),
+        List.of(rows.job(job.id()), rows.progress(job.id())),
+        false,
+        "handback of job " + job.id(),
+        () -> {
+          ended.putDurable(job.endKey(), record);
+          job.phase(Job.Phase.ENDED);
+          job.unacknowledgedResults().forEach(UnacknowledgedResult::acknowledge);
+          registry.remove(job);
+          answer(job, record.answerToHome());
+        },
+        () -> answer(job, new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)));
+  }
+
+  /** Stores where the tasks of a durable job run, with its progress. */
+  void storeSite(Job job, Runnable committed) {
+    job.markProgressStored();
+    append(
+        List.of(
+            new RowWrite(rows.job(job.id()), JobCodec.encode(job.submitted())),
+            new RowWrite(
+                rows.progress(job.id()), JobCodec.encode(job.progress(wallMillis.getAsLong())))),
+        List.of(),
+        false,
+        "site of job " + job.id(),
+        committed,
+        () -> {});
+  }
+
+  /** Ends a best-effort job with the answer of the shard to which it was transferred. */
+  void endAsAnswered(Job job, JobAnswer answer) {
+    if (answer instanceof JobAnswer.State state && state.state().ended()) {
+      end(job, state.state());
+    } else if (answer instanceof JobAnswer.Refused refused && !job.repeated()) {
+      counters.refused(refused.kind());
+      job.phase(Job.Phase.ENDED);
+      registry.remove(job);
+      answer(job, refused);
+    } else {
+      abandon(job);
+    }
+  }
+
   /** Ends a best-effort job without waiting callers; records no final state. */
   void discard(Job job, String reason) {
     LOG.write(LogEvent.JOB_ABANDONED, "job", job.id(), "reason", reason);
@@ -154,11 +217,11 @@
     stopRuns(job);
     job.unacknowledgedResults().forEach(UnacknowledgedResult::acknowledge);
     registry.remove(job);
-    answer(
-        job, job.bestEffort() ? new JobAnswer.State(job.finalState()) : new JobAnswer.Cancelled());
+    answer(job, job.finalAnswer());
   }
 
-  private static void stopRuns(Job job) {
+  private void stopRuns(Job job) {
+    releaseListener.accept(job);
     for (Task task : job.tasks()) {
       if (task.phase() == Task.Phase.ASSIGNED) {
         task.worker().stop(task.run());
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -40,6 +40,7 @@
   private final WorkerSpeeds speeds;
   private final Placer placer;
   private final BooleanSupplier workersReported;
+  private final JobTransfer transfers;
 
   /**
    * Creates an intake.
@@ -58,7 +59,8 @@
       WorkerSessions sessions,
       WorkerSpeeds speeds,
       Placer placer,
-      BooleanSupplier workersReported) {
+      BooleanSupplier workersReported,
+      JobTransfer transfers) {
     this.dependencies = dependencies;
     this.rows = rows;
     this.log = log;
@@ -71,6 +73,7 @@
     this.speeds = speeds;
     this.placer = placer;
     this.workersReported = workersReported;
+    this.transfers = transfers;
   }
 
   /**
@@ -120,6 +123,7 @@
       accept(job);
       if (!runs.endIfDone(job)) {
         losses.check();
+        checkTransfer(job);
       }
     } else {
       store(job);
@@ -172,6 +176,12 @@
     }
   }
 
+  private void checkTransfer(Job job) {
+    if (workersReported.getAsBoolean()) {
+      transfers.check(job);
+    }
+  }
+
   private void refuse(Job job, JobAnswer.Refused refusal, String reason) {
     dependencies.counters().refused(refusal.kind());
     LOG.write(
@@ -198,6 +208,15 @@
       // The capacity is unknown until the workers have reported; few jobs arrive before that.
       return Optional.empty();
     }
+    if (!transfers.isPossible(job)) {
+      return Optional.of(JobTransfer.impossible());
+    }
+    if (!transfers.canStartHere(job)) {
+      // The shard that can start it decides.
+      return dependencies.neighbours().isHome(job.id())
+          ? Optional.empty()
+          : Optional.of(JobTransfer.impossible());
+    }
     double ownWork = job.tasks().stream().mapToDouble(TaskQueue::estimatedWork).sum();
     double capacity = sessions.capacity(job.queue().service(), speeds);
     double spread = capacity <= 0 ? 0 : ownWork / capacity;
@@ -226,6 +245,7 @@
     public void committed() {
       accept(job);
       JobFinalizer.answer(job, new JobAnswer.Accepted());
+      checkTransfer(job);
     }
 
     @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobRegistry.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobRegistry.java
@@ -48,6 +48,7 @@
             job ->
                 job.phase() == Job.Phase.ACTIVE
                     && !job.started()
+                    && !job.hosted()
                     && job.queue().name().equals(queueName))
         .count();
   }
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
@@ -0,0 +1,308 @@
+package org.lovagerack.fleet.shard;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.lovagerack.fleet.job.Handback;
+import org.lovagerack.fleet.job.HostRequest;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobHost;
+import org.lovagerack.fleet.job.JobSite;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.StepSpec;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.worker.WorkerDirectory;
+import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.foundation.error.ErrorKind;
+import org.lovagerack.foundation.event.EventLog;
+import org.lovagerack.foundation.event.LogEvent;
+
+/**
+ * Transfers jobs that no worker of the shard can run to a shard whose workers can, and takes them
+ * back. Answers the load of tasks that need a label or a size that few workers have. A job is
+ * transferred only while none of its tasks can be running, and at most one shard starts its tasks
+ * at any time: a durable job changes its site by a transaction of the shard that gives it away.
+ */
+final class JobTransfer {
+
+  private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+  /** Pause between two requests to a host that answers with the present state of a job. */
+  private static final Duration REQUEST_PAUSE = Duration.ofMillis(20);
+
+  /** Upper limit only; a best-effort job is abandoned when its client has left. */
+  private static final Duration BEST_EFFORT_TIMEOUT = Duration.ofSeconds(60);
+
+  private static final EventLog LOG = new EventLog(JobTransfer.class);
+
+  private final OwnedShardFactory dependencies;
+  private final DecisionLog log;
+  private final JobRegistry registry;
+  private final JobFinalizer finalizer;
+  private final WorkerSessions sessions;
+  private final WorkerDirectory directory;
+  private final LossTracker losses;
+  private final RunTracker runs;
+  private final Placer placer;
+  private final Predicate<Job> mayStart;
+  private final Set<Job> cancelled = new HashSet<>();
+  private final Set<Job> returning = new HashSet<>();
+  private final Map<String, Submission> bestEffort = new HashMap<>();
+
+  /**
+   * Creates an instance without transferred jobs.
+   *
+   * @param directory workers of all shards
+   * @param mayStart returns whether tasks of a job may start now
+   */
+  JobTransfer(
+      OwnedShardFactory dependencies,
+      DecisionLog log,
+      JobRegistry registry,
+      JobFinalizer finalizer,
+      WorkerSessions sessions,
+      WorkerDirectory directory,
+      LossTracker losses,
+      RunTracker runs,
+      Placer placer,
+      Predicate<Job> mayStart) {
+    this.dependencies = dependencies;
+    this.log = log;
+    this.registry = registry;
+    this.finalizer = finalizer;
+    this.sessions = sessions;
+    this.directory = directory;
+    this.losses = losses;
+    this.runs = runs;
+    this.placer = placer;
+    this.mayStart = mayStart;
+  }
+
+  /** Returns whether each step of a job has a listed worker, in any shard, that can run it. */
+  boolean isPossible(Job job) {
+    String service = placer.service(job);
+    return job.submitted().spec().steps().stream()
+        .allMatch(
+            step ->
+                directory.entries().stream()
+                    .anyMatch(worker -> Suitability.canRun(service, step, worker)));
+  }
+
+  /** Returns whether a listed worker of the shard can run one of a new job's first steps. */
+  boolean canStartHere(Job job) {
+    String service = placer.service(job);
+    return job.submitted().spec().steps().stream()
+        .anyMatch(step -> step.after().isEmpty() && sessions.canRun(service, step));
+  }
+
+  /** Transfers or hands back the queued jobs that no worker of the shard can run. */
+  void check() {
+    registry.all().forEach(this::check);
+  }
+
+  /** Does the same for one job. */
+  void check(Job job) {
+    if (!isIdle(job)) {
+      return;
+    }
+    String service = placer.service(job);
+    Set<StepSpec> ready = new HashSet<>();
+    for (Task task : job.tasks()) {
+      if (task.phase() == Task.Phase.WAITING && job.isReady(task)) {
+        ready.add(task.step());
+      }
+    }
+    if (ready.isEmpty() || ready.stream().anyMatch(step -> sessions.canRun(service, step))) {
+      return;
+    }
+    OptionalInt shard = shardFor(job, service, ready);
+    if (job.hosted()) {
+      if (shard.isPresent()) {
+        logTransfer(LogEvent.JOB_HANDED_BACK, job, shard.getAsInt());
+        finalizer.handBack(job);
+      }
+    } else if (!job.bestEffort()) {
+      shard.ifPresent(host -> transfer(job, host));
+    } else if (shard.isPresent() && dependencies.neighbours().isHome(job.id())) {
+      submitElsewhere(job, shard.getAsInt());
+    }
+  }
+
+  /** Continues with a job that a former owner transferred. */
+  void resume(Job job) {
+    request(job);
+  }
+
+  /** Cancels a durable job at its host; the job ends when the host has confirmed. */
+  void cancel(Job job) {
+    cancelled.add(job);
+    request(job);
+  }
+
+  /** Abandons a transferred best-effort job that has ended here. */
+  void release(Job job) {
+    Submission submission = bestEffort.remove(job.id());
+    if (submission != null && job.site() instanceof JobSite.Transferred transferred) {
+      dependencies
+          .neighbours()
+          .host(transferred.hostShard())
+          .ifPresent(host -> host.abandon(submission));
+    }
+  }
+
+  /** Returns whether no task of a job is running or may be started before the next event. */
+  private boolean isIdle(Job job) {
+    if (job.phase() != Job.Phase.ACTIVE || job.transferred() || !mayStart.test(job)) {
+      return false;
+    }
+    for (Task task : job.tasks()) {
+      if (task.phase() == Task.Phase.ASSIGNED
+          || sessions.mayBeRunning(task.id())
+          || (task.phase() == Task.Phase.WAITING && !losses.mayStart(task))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns a shard with a listed worker for one of the steps; many jobs use all such workers. */
+  private OptionalInt shardFor(Job job, String service, Set<StepSpec> steps) {
+    List<Integer> shards = new ArrayList<>();
+    for (WorkerEntry worker : directory.entries()) {
+      OptionalInt shard = dependencies.neighbours().otherShardOf(worker.id());
+      if (shard.isPresent()
+          && steps.stream().anyMatch(step -> Suitability.canRun(service, step, worker))) {
+        shards.add(shard.getAsInt());
+      }
+    }
+    return shards.isEmpty()
+        ? OptionalInt.empty()
+        : OptionalInt.of(shards.get(Math.floorMod(job.id().hashCode(), shards.size())));
+  }
+
+  private void submitElsewhere(Job job, int shard) {
+    Optional<JobHost> host = dependencies.neighbours().host(shard);
+    if (host.isEmpty()) {
+      return;
+    }
+    registry.queue().remove(job);
+    job.site(new JobSite.Transferred(shard, job.site().transfers() + 1, 1));
+    logTransfer(LogEvent.JOB_TRANSFERRED, job, shard);
+    Submission submission =
+        new Submission(
+            job.id(),
+            job.queue(),
+            job.submitted().spec(),
+            BEST_EFFORT_TIMEOUT,
+            dependencies.entryLiveness().self(),
+            job.repeated());
+    bestEffort.put(job.id(), submission);
+    host.get()
+        .submit(
+            submission,
+            answer -> {
+              if (job.phase() == Job.Phase.ACTIVE && bestEffort.remove(job.id()) != null) {
+                finalizer.endAsAnswered(job, answer);
+              }
+            });
+  }
+
+  private void transfer(Job job, int shard) {
+    registry.queue().remove(job);
+    job.site(new JobSite.Transferred(shard, job.site().transfers() + 1, job.upcomingRunNumber()));
+    logTransfer(LogEvent.JOB_TRANSFERRED, job, shard);
+    finalizer.storeSite(job, () -> request(job));
+  }
+
+  private void request(Job job) {
+    if (log.closed()
+        || job.phase() != Job.Phase.ACTIVE
+        || returning.contains(job)
+        || !(job.site() instanceof JobSite.Transferred site)) {
+      return;
+    }
+    Optional<JobHost> host = dependencies.neighbours().host(site.hostShard());
+    if (host.isEmpty()) {
+      retry(job, RETRY_DELAY);
+      return;
+    }
+    HostRequest request =
+        new HostRequest(
+            job.submitted().withSite(new JobSite.Hosted(site.transfers(), site.firstRun())),
+            job.progress(dependencies.wallMillis().getAsLong()),
+            cancelled.contains(job));
+    host.get().host(request, answer -> answered(job, answer));
+  }
+
+  private void retry(Job job, Duration delay) {
+    dependencies.timer().after(delay, () -> request(job));
+  }
+
+  private void answered(Job job, JobAnswer answer) {
+    if (log.closed() || job.phase() != Job.Phase.ACTIVE || returning.contains(job)) {
+      return;
+    }
+    switch (answer) {
+      case JobAnswer.State state when state.state().ended() -> {
+        cancelled.remove(job);
+        finalizer.end(job, state.state());
+      }
+      case JobAnswer.State state -> {
+        if (state.state() == JobState.RUNNING) {
+          job.markStarted();
+        }
+        retry(job, REQUEST_PAUSE);
+      }
+      case JobAnswer.HandedBack handedBack -> takeBack(job, handedBack.handback());
+      default -> retry(job, RETRY_DELAY);
+    }
+  }
+
+  private void takeBack(Job job, Handback handback) {
+    returning.add(job);
+    Job returned =
+        new Job(
+            job.submitted().withSite(new JobSite.Home(job.site().transfers(), handback.nextRun())),
+            job.acceptedNanos(),
+            log.token(),
+            true,
+            false);
+    returned.restore(handback.progress(), dependencies.timer().nanoTime());
+    finalizer.storeSite(returned, () -> replace(job, returned));
+  }
+
+  private void replace(Job job, Job returned) {
+    returning.remove(job);
+    if (job.phase() != Job.Phase.ACTIVE) {
+      return;
+    }
+    job.phase(Job.Phase.ENDED);
+    returned.waiters().addAll(job.waiters());
+    returned.unacknowledgedResults().addAll(job.unacknowledgedResults());
+    registry.add(returned);
+    losses.watch(returned);
+    if (cancelled.remove(job)) {
+      finalizer.end(returned, JobState.CANCELLED);
+    } else if (!runs.endIfDone(returned)) {
+      registry.queue().add(returned);
+      placer.request();
+      check(returned);
+    }
+  }
+
+  private static void logTransfer(LogEvent event, Job job, int shard) {
+    LOG.write(event, "job", job.id(), "shard", shard, "transfers", job.site().transfers());
+  }
+
+  /** Returns the refusal of a job that no worker can run. */
+  static JobAnswer.Refused impossible() {
+    return new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, ShardController.RETRY_AFTER_OUTAGE);
+  }
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
@@ -84,6 +84,13 @@
     return RestartPolicy.decide(task.losses(), useful, timer.nanoTime());
   }
 
+  /** Returns whether the losses of a task allow it to start now. */
+  boolean mayStart(Task task) {
+    RestartPolicy.Decision decision = decide(task);
+    return decision == RestartPolicy.Decision.START
+        || decision == RestartPolicy.Decision.START_ALONE;
+  }
+
   /** Returns whether every task of a queued job that could start is held back. */
   boolean isHeldBack(Job job) {
     return job.tasks().stream()
@@ -93,7 +100,9 @@
 
   /** Ends the job of a task that is not to be repeated; returns whether it did. */
   boolean endIfNotRepeated(Task task) {
-    if (task.phase() != Task.Phase.WAITING || task.job().phase() != Job.Phase.ACTIVE) {
+    if (task.phase() != Task.Phase.WAITING
+        || task.job().phase() != Job.Phase.ACTIVE
+        || task.job().transferred()) {
       return false;
     }
     RestartPolicy.Decision decision = decide(task);
--- /dev/null
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Neighbours.java
@@ -0,0 +1,38 @@
+package org.lovagerack.fleet.shard;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.lovagerack.fleet.job.JobHost;
+import org.lovagerack.fleet.worker.WorkerId;
+
+/** What the owner of a shard knows about the other shards. */
+public interface Neighbours {
+
+  /** There is no other shard that could be reached. */
+  Neighbours NONE =
+      new Neighbours() {
+        @Override
+        public boolean isHome(String jobId) {
+          return true;
+        }
+
+        @Override
+        public OptionalInt otherShardOf(WorkerId worker) {
+          return OptionalInt.empty();
+        }
+
+        @Override
+        public Optional<JobHost> host(int shard) {
+          return Optional.empty();
+        }
+      };
+
+  /** Returns whether the shard accepts the job from entry VMs and answers its callers. */
+  boolean isHome(String jobId);
+
+  /** Returns the shard of a worker; empty if it belongs to the shard itself. */
+  OptionalInt otherShardOf(WorkerId worker);
+
+  /** Returns the owner of another shard; empty while there is none. */
+  Optional<JobHost> host(int shard);
+}
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -1,6 +1,7 @@
 package org.lovagerack.fleet.shard;
 
 import java.util.Collection;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.fleet.worker.WorkerFeed;
@@ -97,6 +98,11 @@
     return controller;
   }
 
+  /** Returns the service for jobs of other shards. */
+  public JobHost host() {
+    return controller;
+  }
+
   /** Commits pending entries and releases the shard. */
   public void release(Runnable callback) {
     log.release(callback);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShardFactory.java
@@ -19,6 +19,7 @@
  * @param calls client for requests to workers
  * @param workers workers listed by the platform
  * @param mayUse selects the workers of the shard
+ * @param neighbours the other shards
  * @param entryLiveness liveness of the entry VMs
  * @param configuration holder of the configuration in force
  * @param bounds time limits set by the platform
@@ -32,22 +33,29 @@
     WorkerCalls calls,
     WorkerFeed workers,
     Predicate<WorkerId> mayUse,
+    Neighbours neighbours,
     EntryLiveness entryLiveness,
     ConfigurationHolder configuration,
     FleetBounds bounds,
     JobCounters counters) {
 
   /** Returns a copy restricted to the workers of one shard. */
-  public OwnedShardFactory forShard(ShardMap map, int shard) {
-    return copyWith(worker -> map.ofWorker(worker) == shard, counters);
+  public OwnedShardFactory forShard(ShardMap map, int shard, Neighbours others) {
+    return copyWith(worker -> map.ofWorker(worker) == shard, others, counters);
+  }
+
+  /** Returns a copy that transfers no jobs to other shards. */
+  OwnedShardFactory withoutNeighbours() {
+    return copyWith(mayUse, Neighbours.NONE, counters);
   }
 
   /** Returns a copy that discards counts, for work that clients did not request. */
   public OwnedShardFactory withoutCounters() {
-    return copyWith(mayUse, JobCounters.NONE);
+    return copyWith(mayUse, neighbours, JobCounters.NONE);
   }
 
-  private OwnedShardFactory copyWith(Predicate<WorkerId> usableWorkers, JobCounters usedCounters) {
+  private OwnedShardFactory copyWith(
+      Predicate<WorkerId> usableWorkers, Neighbours usedNeighbours, JobCounters usedCounters) {
     return new OwnedShardFactory(
         timer,
         wallMillis,
@@ -56,6 +64,7 @@
         calls,
         workers,
         usableWorkers,
+        usedNeighbours,
         entryLiveness,
         configuration,
         bounds,
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
@@ -114,7 +114,7 @@
   /**
    * Returns the configured service of the job's queue, or its last one if the queue was removed.
    */
-  private String service(Job job) {
+  String service(Job job) {
     return configuration
         .inForce()
         .flatMap(current -> current.queue(job.queue().name()))
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -148,6 +148,7 @@
         task.job().recovered() ? !gate.isOpen() : mayHaveUnreportedRuns.test(task.job());
     return jobMayHaveUnreportedRuns
         && task.job().phase() == Job.Phase.ACTIVE
+        && !task.job().transferred()
         && task.phase() == Task.Phase.WAITING;
   }
 
@@ -195,6 +196,11 @@
     Task task = found.get();
     Job job = task.job();
     job.skipRunNumber(result.run().run());
+    if (job.transferred() && !job.bestEffort()) {
+      // The host runs the task. The result is acknowledged when the job has ended.
+      job.unacknowledgedResults().add(unacknowledged);
+      return;
+    }
     finalizer.addResult(job, unacknowledged);
     if (task.isCurrent(result.run()) || mayHaveUnreportedRun(task)) {
       job.markStarted();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -7,7 +7,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.EntryId;
+import org.lovagerack.fleet.job.HostRequest;
 import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.Submission;
@@ -27,7 +29,7 @@
  * <p>Durable jobs start and end only under a valid lease. Best-effort jobs continue while the store
  * is unavailable, as long as the entry VM with the client's connection is reachable.
  */
-final class ShardController implements JobService {
+final class ShardController implements JobService, JobHost {
 
   /**
    * Time to wait for the jobs of inherited runs. Entry VMs resubmit jobs within about 0.1 s after
@@ -69,6 +71,8 @@
   private final Placer placer;
   private final RunTracker runs;
   private final WorkerSessions sessions;
+  private final JobTransfer transfers;
+  private final HostedJobs hostedJobs;
   private final JobIntake intake;
   private final EarlySubmissions earlySubmissions;
   private final OverloadDetector overloadDetector = new OverloadDetector();
@@ -144,6 +148,21 @@
             placer::request);
     placer.use(sessions);
     losses.use(sessions);
+    this.transfers =
+        new JobTransfer(
+            dependencies,
+            log,
+            registry,
+            finalizer,
+            sessions,
+            directory,
+            losses,
+            runs,
+            placer,
+            this::mayStart);
+    finalizer.setReleaseListener(transfers::release);
+    this.hostedJobs =
+        new HostedJobs(dependencies, rows, log, registry, ended, finalizer, losses, runs, placer);
     this.intake =
         new JobIntake(
             dependencies,
@@ -157,7 +176,8 @@
             sessions,
             speeds,
             placer,
-            () -> workersReported);
+            () -> workersReported,
+            transfers);
     this.earlySubmissions = new EarlySubmissions(dependencies.timer());
   }
 
@@ -249,6 +269,7 @@
     sessions.open();
     dependencies.timer().after(INHERITED_RUN_TIMEOUT, runs::stopUnclaimedRuns);
     dependencies.timer().after(WORKER_REPORT_TIMEOUT, () -> workersReported = true);
+    stored.jobs().stream().filter(Job::transferred).forEach(transfers::resume);
     earlySubmissions.handOver(intake::submit);
     openGateIfAllJoined();
   }
@@ -275,7 +296,7 @@
     gate.open();
     List<Job> waiting =
         registry.all().stream()
-            .filter(job -> job.recovered() && job.phase() == Job.Phase.ACTIVE)
+            .filter(job -> job.recovered() && job.phase() == Job.Phase.ACTIVE && !job.transferred())
             .toList();
     LOG.write(
         LogEvent.SHARD_RESUMED,
@@ -345,7 +366,8 @@
                         waiter.entry().filter(dependencies.entryLiveness()::isReachable).isEmpty());
         if (changed && job.waiters().isEmpty()) {
           finalizer.discard(job, "the entry VM of its client is unreachable");
-        } else if (job.neverRan()
+        } else if (!job.transferred()
+            && job.neverRan()
             && overloadDetector.shouldRefuse(
                 TaskQueue.canMeetObjective(job, now), !job.tooLateToStart(now))) {
           intake.refuseUnstarted(job);
@@ -354,6 +376,9 @@
     }
     openGateIfAllJoined();
     losses.check();
+    if (workersReported) {
+      transfers.check();
+    }
     dependencies.entryLiveness().removeUnreachable();
     placer.request();
     sessions.removeUnlisted(
@@ -445,13 +470,26 @@
           callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER_OUTAGE));
       case ACTIVE -> {
         job.waiters().add(waiter);
-        finalizer.end(job, JobState.CANCELLED);
+        if (job.transferred() && !job.bestEffort()) {
+          transfers.cancel(job);
+        } else {
+          finalizer.end(job, JobState.CANCELLED);
+        }
       }
       case ENDING -> job.waiters().add(waiter);
       case ENDED -> callback.accept(new JobAnswer.Cancelled());
     }
   }
 
+  @Override
+  public void host(HostRequest request, Consumer<JobAnswer> callback) {
+    if (ready() && log.coversWholeShard()) {
+      hostedJobs.host(request, callback);
+    } else {
+      callback.accept(new JobAnswer.Refused(ErrorKind.NOT_READY, RETRY_AFTER_OUTAGE));
+    }
+  }
+
   @Override
   public void pending(String queueName, Consumer<JobAnswer> callback) {
     callback.accept(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.lovagerack.fleet.job.LostRun;
+import org.lovagerack.fleet.job.StepSpec;
 import org.lovagerack.fleet.job.TaskId;
 import org.lovagerack.fleet.worker.WorkerCalls;
 import org.lovagerack.fleet.worker.WorkerDirectory;
@@ -178,6 +179,16 @@
         && sessions.values().stream().noneMatch(WorkerSession::suspect);
   }
 
+  /**
+   * Returns whether a listed worker of the shard can run the tasks of a step, now or when it has
+   * ended others or answers again.
+   */
+  boolean canRun(String service, StepSpec step) {
+    return sessions.values().stream()
+        .anyMatch(
+            session -> session.listed() && Suitability.canRun(service, step, session.entry()));
+  }
+
   /** Returns the cores of the workers that serve a service, weighted by worker speed. */
   double capacity(String service, WorkerSpeeds speeds) {
     double cores = 0;
--- /dev/null
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferTest.java
@@ -0,0 +1,284 @@
+package org.lovagerack.fleet.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobSpec;
+import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Resources;
+import org.lovagerack.fleet.job.StepSpec;
+import org.lovagerack.fleet.job.Submission;
+import org.lovagerack.fleet.shard.ShardMap;
+import org.lovagerack.fleet.support.ConnectedPeers;
+import org.lovagerack.fleet.support.FakeFleet;
+import org.lovagerack.fleet.support.FakeStore;
+import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.foundation.error.ErrorKind;
+
+/**
+ * Jobs need a label or a size that only workers of another shard have. Guards against accepted jobs
+ * that wait for ever although a worker of the fleet can run them.
+ */
+final class JobTransferTest {
+
+  private static final Duration TASK_TIME = Duration.ofMillis(300);
+  private static final int SHARDS = 2;
+  private static final int JOBS = 8;
+  private static final ShardMap MAP = new ShardMap(SHARDS);
+
+  private final FakeFleet fleet = new FakeFleet(6, TASK_TIME);
+  private final ConnectedPeers peers = new ConnectedPeers();
+  private final Map<String, JobRouter> routers = new HashMap<>();
+  private final Map<String, FakeFleet.Vm> vms = new HashMap<>();
+  private final Map<String, List<JobAnswer>> answers = new HashMap<>();
+
+  private void start(String... names) {
+    for (String name : names) {
+      FakeFleet.Vm vm = fleet.vm(name);
+      JobRouter router =
+          new JobRouter(
+              fleet.timer,
+              new SplittableRandom(name.hashCode()),
+              peers,
+              vm.shardFactory,
+              new EntryVm(vm.id, name, "a"),
+              0.75,
+              fleet.workers.size() / SHARDS);
+      vms.put(name, vm);
+      routers.put(name, router);
+      peers.add(name, router);
+      router.start();
+    }
+    run(5000);
+  }
+
+  private void run(long millis) {
+    fleet.timer.advance(Duration.ofMillis(millis));
+  }
+
+  private void kill(String name) {
+    peers.end(name);
+    fleet.network.stopVm(name);
+    vms.get(name).storeConnection.setFault(FakeStore.Fault.UNRESPONSIVE);
+    routers.remove(name).releaseShards(() -> {});
+  }
+
+  private FakeWorker workerOfShard(int shard) {
+    return fleet.workers.stream()
+        .filter(worker -> MAP.ofWorker(worker.entry().id()) == shard)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private void setLabels(FakeWorker worker, String... labels) {
+    worker.setLabels(Set.of(labels));
+    fleet.list(worker);
+  }
+
+  private static StepSpec step(String label, List<Integer> after) {
+    return new StepSpec(1, new Resources(6800, 64, 0), TASK_TIME, after, label, "", 0);
+  }
+
+  private static List<String> jobs() {
+    return IntStream.range(0, JOBS).mapToObj(job -> "job-" + job).toList();
+  }
+
+  private void submit(String vm, boolean bestEffort, StepSpec... steps) {
+    for (String id : jobs()) {
+      submit(vm, id, bestEffort, steps);
+    }
+  }
+
+  private void submit(String vm, String id, boolean bestEffort, StepSpec... steps) {
+    Submission plain = FakeFleet.job(id, 1, TASK_TIME.toMillis(), bestEffort);
+    routers
+        .get(vm)
+        .submit(
+            new Submission(
+                id,
+                plain.queue(),
+                new JobSpec("work", List.of(steps), bestEffort),
+                plain.clientTimeout(),
+                plain.entry(),
+                false),
+            answers.computeIfAbsent(id, key -> new ArrayList<>())::add);
+  }
+
+  private Map<String, JobState> states(String vm) {
+    Map<String, JobState> states = new HashMap<>();
+    for (String id : answers.keySet()) {
+      routers
+          .get(vm)
+          .state(
+              id,
+              answer -> {
+                if (answer instanceof JobAnswer.State state) {
+                  states.put(id, state.state());
+                }
+              });
+    }
+    run(50);
+    return states;
+  }
+
+  private void assertAllCompleted(String vm) {
+    assertThat(states(vm)).hasSize(answers.size());
+    assertThat(states(vm).values()).containsOnly(JobState.COMPLETED);
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  @Test
+  void durableJobRunsOnTheOnlyWorkerWithItsLabel() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "rare");
+    submit("one", false, step("rare", List.of()));
+    run(4000);
+
+    assertThat(answers.values()).allMatch(given -> given.equals(List.of(new JobAnswer.Accepted())));
+    assertAllCompleted("one");
+    assertThat(fleet.observer.starts()).hasSize(JOBS);
+  }
+
+  @Test
+  void bestEffortJobRunsOnTheOnlyWorkerWithItsLabel() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "rare");
+    submit("one", "job-0", true, step("rare", List.of()));
+    submit("one", "job-1", true, step("rare", List.of()));
+    submit("one", "job-2", true, step("rare", List.of()));
+    run(1500);
+
+    assertThat(answers.values())
+        .allMatch(given -> given.equals(List.of(new JobAnswer.State(JobState.COMPLETED))));
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  @Test
+  void jobRunsOnTheOnlyWorkersThatAreLargeEnough() {
+    start("one", "two");
+    for (FakeWorker worker : fleet.workers) {
+      if (MAP.ofWorker(worker.entry().id()) == 1) {
+        worker.setRoom(0, true);
+        fleet.list(worker);
+      }
+    }
+    submit("one", false, step("", List.of()));
+    run(5000);
+
+    assertAllCompleted("one");
+  }
+
+  @Test
+  void jobThatNoWorkerCanRunIsRefusedAtOnce() {
+    start("one", "two");
+    submit("one", "job-0", false, step("missing", List.of()));
+    submit("one", "job-1", true, step("missing", List.of()));
+    submit("one", "job-2", true, step("", List.of()), step("missing", List.of(0)));
+    run(10);
+
+    assertThat(answers.values())
+        .allMatch(
+            given ->
+                given.equals(
+                    List.of(new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, Duration.ofSeconds(1)))));
+    assertThat(fleet.observer.starts()).isEmpty();
+  }
+
+  @Test
+  void acceptedJobMovesToTheWorkerThatStillHasItsLabel() {
+    start("one", "two");
+    FakeWorker first = workerOfShard(0);
+    FakeWorker second = workerOfShard(1);
+    setLabels(first, "rare");
+    first.setSpeed(0);
+    submit("one", false, step("rare", List.of()));
+    run(100);
+    setLabels(second, "rare");
+    vms.values().forEach(vm -> vm.directory.remove(first.entry().id()));
+    first.restart();
+    run(15_000);
+
+    assertAllCompleted("one");
+  }
+
+  @Test
+  void stepsRunOnWorkersOfDifferentShards() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "left");
+    setLabels(workerOfShard(1), "right");
+    submit(
+        "one", false, step("left", List.of()), step("right", List.of(0)), step("left", List.of(1)));
+    run(25_000);
+
+    assertAllCompleted("one");
+    assertThat(fleet.observer.starts()).hasSize(3 * JOBS);
+  }
+
+  @Test
+  void transferredJobsSurviveTheEndOfEachOwner() {
+    start("one", "two", "three");
+    setLabels(workerOfShard(0), "rare");
+    submit("one", false, step("rare", List.of()), step("rare", List.of(0)));
+    run(200);
+    kill("two");
+    run(700);
+    kill("three");
+    run(25_000);
+
+    assertAllCompleted("one");
+    assertThat(fleet.observer.starts().size()).isGreaterThanOrEqualTo(2 * JOBS);
+  }
+
+  @Test
+  void transferredJobIsCancelledAtItsHost() {
+    start("one", "two");
+    FakeWorker worker = workerOfShard(0);
+    setLabels(worker, "rare");
+    worker.setSpeed(0);
+    submit("one", false, step("rare", List.of()));
+    run(400);
+    List<JobAnswer> cancels = new ArrayList<>();
+    jobs().forEach(id -> routers.get("one").cancel(id, cancels::add));
+    run(500);
+
+    assertThat(cancels).hasSize(JOBS).containsOnly(new JobAnswer.Cancelled());
+    assertThat(worker.runningTasks()).isZero();
+    assertThat(states("one").values()).containsOnly(JobState.CANCELLED);
+  }
+
+  @Test
+  void abandonedBestEffortJobStopsAtItsHost() {
+    start("one", "two");
+    FakeWorker worker = workerOfShard(0);
+    setLabels(worker, "rare");
+    worker.setSpeed(0);
+    Submission plain = FakeFleet.job("job-0", 1, 300, true);
+    for (String id : jobs()) {
+      Submission submission =
+          new Submission(
+              id,
+              plain.queue(),
+              new JobSpec("work", List.of(step("rare", List.of())), true),
+              plain.clientTimeout(),
+              plain.entry(),
+              false);
+      routers.get("one").submit(submission, answer -> {});
+      run(20);
+      routers.get("one").abandon(submission);
+    }
+    run(300);
+
+    assertThat(fleet.observer.starts()).hasSizeGreaterThan(JOBS / 2);
+    assertThat(worker.runningTasks()).isZero();
+  }
+}
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/UnlistedWorkerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/UnlistedWorkerTest.java
@@ -5,17 +5,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
-import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.support.ConnectedPeers;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.FakeWorker;
@@ -29,10 +26,9 @@
   private static final Duration TASK_TIME = Duration.ofMillis(2500);
 
   private final FakeFleet fleet = new FakeFleet(4, TASK_TIME);
-  private final Peers peers = new Peers();
+  private final ConnectedPeers peers = new ConnectedPeers();
   private final Map<String, JobRouter> routers = new HashMap<>();
   private final Map<String, FakeFleet.Vm> vms = new HashMap<>();
-  private final Set<String> ended = new HashSet<>();
   private final List<JobAnswer> answers = new ArrayList<>();
 
   private void start(String name) {
@@ -51,6 +47,7 @@
             40);
     vms.put(name, vm);
     routers.put(name, router);
+    peers.add(name, router);
     router.start();
   }
 
@@ -59,7 +56,7 @@
   }
 
   private void kill(String name) {
-    ended.add(name);
+    peers.end(name);
     fleet.network.stopVm(name);
     vms.get(name).storeConnection.setFault(FakeStore.Fault.UNRESPONSIVE);
     routers.get(name).releaseShards(() -> {});
@@ -150,30 +147,4 @@
     assertThat(routers.get("first").view("a").workers()).hasSize(fleet.workers.size() - 1);
     assertThat(routers.get("first").view("a").completeShards()).containsExactly(0);
   }
-
-  /** Connects the routers to each other; a killed process refuses connections. */
-  private final class Peers implements PeerCalls {
-
-    @Override
-    public void probe(
-        String address, long incarnation, Duration timeout, Consumer<Liveness> callback) {
-      callback.accept(
-          ended.contains(address)
-              ? new ProcessEnded()
-              : new Alive(routers.get(address).viewVersion("a")));
-    }
-
-    @Override
-    public void view(
-        String address, long incarnation, Duration timeout, Consumer<FleetView> callback) {
-      if (!ended.contains(address)) {
-        callback.accept(routers.get(address).view("a"));
-      }
-    }
-
-    @Override
-    public JobService jobsAt(String address, long incarnation) {
-      return routers.get(address);
-    }
-  }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeFleet.java
@@ -17,6 +17,7 @@
 import org.lovagerack.fleet.shard.FleetBounds;
 import org.lovagerack.fleet.shard.JobCounters;
 import org.lovagerack.fleet.shard.LeaseClock;
+import org.lovagerack.fleet.shard.Neighbours;
 import org.lovagerack.fleet.shard.OwnedShardFactory;
 import org.lovagerack.fleet.shard.ShardLease;
 import org.lovagerack.fleet.shard.ShardRows;
@@ -142,6 +143,7 @@
               network.callsOf(name),
               new WorkerFeed(directory, idle),
               worker -> true,
+              Neighbours.NONE,
               entryLiveness,
               configuration,
               new FleetBounds(Duration.ofSeconds(1), Duration.ofSeconds(120)),
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
@@ -52,6 +52,7 @@
   private double speed = 1;
   private double failingShare;
   private boolean draining;
+  private Set<String> labels = Set.of("a");
   private String id;
   private int room = 2;
   private boolean guardsRoom = true;
@@ -118,7 +119,7 @@
         name.substring(0, 1),
         draining,
         new Resources(room * CPU_MILLICORES_PER_TASK, 64_000, 0),
-        Set.of("a"),
+        labels,
         incarnation);
   }
 
@@ -183,6 +184,11 @@
         });
   }
 
+  /** Sets the labels that the worker reports. */
+  public void setLabels(Set<String> newLabels) {
+    labels = Set.copyOf(newLabels);
+  }
+
   public void setDraining(boolean newDraining) {
     draining = newDraining;
   }
--- a/fleet/src/test/java/org/lovagerack/fleet/support/RespondingPeers.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/RespondingPeers.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.lovagerack.fleet.entry.FleetView;
 import org.lovagerack.fleet.entry.PeerCalls;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 
 /** Peers that answer all probes and have no view of the fleet. */
@@ -21,6 +22,11 @@
     // Peers without a view do not answer.
   }
 
+  @Override
+  public JobHost hostAt(String address, long incarnation, int shard) {
+    throw new IllegalStateException("this test does not transfer jobs");
+  }
+
   @Override
   public JobService jobsAt(String address, long incarnation) {
     throw new IllegalStateException("this test does not forward jobs");
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -33,6 +33,8 @@
   RUN_STALLED(2117, Severity.WARN, "run makes no progress and is stopped"),
   LOSS_EXPLAINED(2118, Severity.INFO, "fate of the worker of a lost run is known"),
   TASK_NOT_REPEATED(2119, Severity.WARN, "task is not repeated after its workers were lost"),
+  JOB_TRANSFERRED(2120, Severity.INFO, "job transferred to a shard whose workers can run it"),
+  JOB_HANDED_BACK(2121, Severity.INFO, "job handed back, because no worker here can run it"),
   UPSTREAM_EJECTED(3001, Severity.WARN, "upstream ejected"),
   UPSTREAM_READMITTED(3002, Severity.INFO, "upstream readmitted"),
   UPSTREAM_LEAVING(3003, Severity.INFO, "upstream is leaving"),
--- a/node/src/main/java/org/lovagerack/node/EntryNode.java
+++ b/node/src/main/java/org/lovagerack/node/EntryNode.java
@@ -19,6 +19,7 @@
 import org.lovagerack.fleet.shard.EntryLiveness;
 import org.lovagerack.fleet.shard.FleetBounds;
 import org.lovagerack.fleet.shard.LeaseClock;
+import org.lovagerack.fleet.shard.Neighbours;
 import org.lovagerack.fleet.shard.OwnedShardFactory;
 import org.lovagerack.fleet.store.TableFollower;
 import org.lovagerack.fleet.worker.WorkerDirectory;
@@ -126,6 +127,7 @@
             new WorkerClient(new HttpCaller(vertx, WORKER_CONNECTIONS)),
             workers,
             worker -> true,
+            Neighbours.NONE,
             entryLiveness,
             configuration,
             new FleetBounds(settings.maxWorkerLease(), settings.statusRetention()),
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -12,8 +12,10 @@
 import org.lovagerack.fleet.entry.FleetView;
 import org.lovagerack.fleet.entry.PeerCalls;
 import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.HostRequest;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.job.SubmittedJob;
@@ -29,6 +31,9 @@
   /** Long, because cancelling a job writes to the store, which takes about 500 ms when slow. */
   private static final Duration CANCEL_TIMEOUT = Duration.ofMillis(2500);
 
+  /** For a request that the host holds for a second, after a transaction on a slow store. */
+  private static final Duration HOST_TIMEOUT = Duration.ofMillis(2500);
+
   private static final Duration QUERY_TIMEOUT = Duration.ofMillis(700);
 
   private final HttpCaller caller;
@@ -100,7 +105,14 @@
 
   @Override
   public JobService jobsAt(String address, long incarnation) {
-    return new RemoteJobs(address, incarnation);
+    return new RemoteJobs(address, headers(incarnation));
+  }
+
+  @Override
+  public JobHost hostAt(String address, long incarnation, int shard) {
+    Map<String, String> headers = new HashMap<>(headers(incarnation));
+    headers.put(PeerProtocol.SHARD_HEADER, Integer.toString(shard));
+    return new RemoteJobs(address, headers);
   }
 
   private Map<String, String> headers(long incarnation) {
@@ -115,29 +127,29 @@
         self.failureDomain());
   }
 
-  private final class RemoteJobs implements JobService {
+  private final class RemoteJobs implements JobService, JobHost {
     private final String address;
-    private final long incarnation;
+    private final Map<String, String> headers;
 
     /** Cancels the call of the last submission. */
     private Runnable cancelLastSubmission = () -> {};
 
-    RemoteJobs(String address, long incarnation) {
+    RemoteJobs(String address, Map<String, String> headers) {
       this.address = address;
-      this.incarnation = incarnation;
+      this.headers = Map.copyOf(headers);
     }
 
     @Override
     public void submit(Submission submission, Consumer<JobAnswer> callback) {
-      Map<String, String> headers = new HashMap<>(headers(incarnation));
-      headers.put(
+      Map<String, String> all = new HashMap<>(headers);
+      all.put(
           PeerProtocol.CLIENT_TIMEOUT_HEADER, Long.toString(submission.clientTimeout().toMillis()));
-      headers.put(PeerProtocol.REPEATED_HEADER, Boolean.toString(submission.repeated()));
+      all.put(PeerProtocol.REPEATED_HEADER, Boolean.toString(submission.repeated()));
       cancelLastSubmission =
           call(
               HttpMethod.PUT,
               PeerProtocol.JOBS_PATH + submission.jobId(),
-              headers,
+              all,
               body(submission),
               submission.clientTimeout(),
               callback);
@@ -148,7 +160,7 @@
       call(
           HttpMethod.POST,
           PeerProtocol.JOBS_PATH + submission.jobId() + PeerProtocol.ABANDON_SUFFIX,
-          headers(incarnation),
+          headers,
           body(submission),
           QUERY_TIMEOUT,
           answer -> {
@@ -166,6 +178,17 @@
       return Buffer.buffer(JobCodec.encode(job).toByteArray());
     }
 
+    @Override
+    public void host(HostRequest request, Consumer<JobAnswer> callback) {
+      call(
+          HttpMethod.POST,
+          PeerProtocol.JOBS_PATH + request.job().id() + PeerProtocol.HOST_SUFFIX,
+          headers,
+          Buffer.buffer(JobCodec.encode(request).toByteArray()),
+          HOST_TIMEOUT,
+          callback);
+    }
+
     @Override
     public void state(String jobId, Consumer<JobAnswer> callback) {
       query(HttpMethod.GET, PeerProtocol.JOBS_PATH + jobId, callback);
@@ -176,7 +199,7 @@
       call(
           HttpMethod.DELETE,
           PeerProtocol.JOBS_PATH + jobId,
-          headers(incarnation),
+          headers,
           Buffer.buffer(),
           CANCEL_TIMEOUT,
           callback);
@@ -188,7 +211,7 @@
     }
 
     private void query(HttpMethod method, String path, Consumer<JobAnswer> callback) {
-      call(method, path, headers(incarnation), Buffer.buffer(), QUERY_TIMEOUT, callback);
+      call(method, path, headers, Buffer.buffer(), QUERY_TIMEOUT, callback);
     }
 
     private Runnable call(
--- a/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
@@ -8,7 +8,10 @@
 import java.io.IOException;
 import java.time.Duration;
 import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.MalformedRecordException;
+import org.lovagerack.foundation.data.Bytes;
 import org.lovagerack.foundation.error.ErrorKind;
 
 /** Paths, headers and bodies of the calls between entry VMs. */
@@ -34,6 +37,12 @@
   /** Suffix of the call that abandons a best-effort job whose client no longer waits. */
   static final String ABANDON_SUFFIX = "/abandon";
 
+  /** Suffix of the call that runs or cancels a durable job of another shard. */
+  static final String HOST_SUFFIX = "/host";
+
+  /** Index of the shard that is to serve the call; by default, the shard of the job. */
+  static final String SHARD_HEADER = "Lovagerack-Shard";
+
   /** Whether a former owner may have received the job. */
   static final String REPEATED_HEADER = "Lovagerack-Repeated";
 
@@ -60,6 +69,9 @@
       case JobAnswer.State state -> node.put("answer", "state").put("state", state.state().name());
       case JobAnswer.Cancelled cancelled -> node.put("answer", "cancelled");
       case JobAnswer.Pending pending -> node.put("answer", "pending").put("jobs", pending.jobs());
+      case JobAnswer.HandedBack handedBack ->
+          node.put("answer", "handed-back")
+              .put("handback", JobCodec.encode(handedBack.handback()).toText());
       case JobAnswer.UnknownJob unknown -> node.put("answer", "unknown-job");
       case JobAnswer.Refused refused ->
           node.put("answer", "refused")
@@ -96,6 +108,9 @@
         case "state" -> new JobAnswer.State(JobState.valueOf(node.path("state").asText()));
         case "cancelled" -> new JobAnswer.Cancelled();
         case "pending" -> new JobAnswer.Pending(node.path("jobs").asLong());
+        case "handed-back" ->
+            new JobAnswer.HandedBack(
+                JobCodec.decodeHandback(Bytes.ofText(node.path("handback").asText())));
         case "unknown-job" -> new JobAnswer.UnknownJob();
         case "refused" ->
             new JobAnswer.Refused(
@@ -105,7 +120,7 @@
             new JobAnswer.Unresolved(ErrorKind.valueOf(node.path("kind").asText()));
         default -> throw new IOException("unknown answer: " + answer);
       };
-    } catch (IllegalArgumentException e) {
+    } catch (IllegalArgumentException | MalformedRecordException e) {
       throw new IOException("malformed answer: " + answer, e);
     }
   }
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -8,8 +8,10 @@
 import org.lovagerack.fleet.entry.JobRouter;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.HostRequest;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
@@ -25,6 +27,9 @@
 
   private static final EventLog LOG = new EventLog(PeerServer.class);
 
+  /** Greater than the index of any shard. */
+  private static final int MAX_SHARD = 1_000_000;
+
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
 
@@ -89,11 +94,9 @@
                       entry,
                       repeated,
                       answer,
-                      submission ->
-                          withOwnedJobs(
-                              submission.jobId(),
-                              answer,
-                              jobs -> jobs.submit(submission, answer))));
+                      submission -> submit(request, submission, answer)));
+    } else if (path.endsWith(PeerProtocol.HOST_SUFFIX)) {
+      request.body().onSuccess(body -> host(request, body, entry, answer));
     } else if (path.endsWith(PeerProtocol.ABANDON_SUFFIX)) {
       request
           .body()
@@ -106,9 +109,7 @@
                       false,
                       answer,
                       submission -> {
-                        router
-                            .localJobs(submission.jobId())
-                            .ifPresent(jobs -> jobs.abandon(submission));
+                        abandon(request, submission);
                         answer.accept(new JobAnswer.Cancelled());
                       }));
     } else if (request.method().equals(HttpMethod.DELETE)) {
@@ -118,6 +119,45 @@
     }
   }
 
+  private void submit(
+      HttpServerRequest request, Submission submission, Consumer<JobAnswer> answer) {
+    if (request.headers().contains(PeerProtocol.SHARD_HEADER)) {
+      withHost(request, answer, host -> host.submit(submission, answer));
+    } else {
+      withOwnedJobs(submission.jobId(), answer, jobs -> jobs.submit(submission, answer));
+    }
+  }
+
+  private void abandon(HttpServerRequest request, Submission submission) {
+    if (request.headers().contains(PeerProtocol.SHARD_HEADER)) {
+      router.localHost(shard(request)).ifPresent(host -> host.abandon(submission));
+    } else {
+      router.localJobs(submission.jobId()).ifPresent(jobs -> jobs.abandon(submission));
+    }
+  }
+
+  private void host(
+      HttpServerRequest request, Buffer body, EntryId entry, Consumer<JobAnswer> answer) {
+    try {
+      HostRequest decoded = JobCodec.decodeHostRequest(Bytes.copyOf(body.getBytes()));
+      withHost(request, answer, host -> host.host(decoded, answer));
+    } catch (MalformedRecordException e) {
+      LOG.write(LogEvent.REQUEST_REJECTED, e, "entry", entry);
+      answer.accept(new JobAnswer.Refused(ErrorKind.MALFORMED_REQUEST, Duration.ZERO));
+    }
+  }
+
+  private void withHost(
+      HttpServerRequest request, Consumer<JobAnswer> answer, Consumer<JobHost> call) {
+    router
+        .localHost(shard(request))
+        .ifPresentOrElse(call, () -> answer.accept(PeerProtocol.NOT_OWNER));
+  }
+
+  private static int shard(HttpServerRequest request) {
+    return (int) Math.clamp(numberHeader(request, PeerProtocol.SHARD_HEADER), -1, MAX_SHARD);
+  }
+
   private static Duration clientTimeout(HttpServerRequest request) {
     return Duration.ofMillis(numberHeader(request, PeerProtocol.CLIENT_TIMEOUT_HEADER));
   }
--- a/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
+++ b/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
@@ -4,12 +4,15 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.lovagerack.fleet.entry.FleetView;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.job.Handback;
 import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobProgress;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.Resources;
 import org.lovagerack.fleet.worker.WorkerEntry;
@@ -52,6 +55,9 @@
             new JobAnswer.State(JobState.FAILED),
             new JobAnswer.Cancelled(),
             new JobAnswer.Pending(12),
+            new JobAnswer.HandedBack(
+                new Handback(
+                    new JobProgress(List.of(1), Map.of(2, List.of(7)), Map.of(), 9), 10_004)),
             new JobAnswer.UnknownJob(),
             new JobAnswer.Refused(ErrorKind.OVERLOADED, Duration.ofMillis(1500)),
             new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
