--- a/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferRaceTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferRaceTest.java
@@ -10,22 +10,20 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobSpec;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.Resources;
 import org.lovagerack.fleet.job.StepSpec;
 import org.lovagerack.fleet.job.Submission;
-import org.lovagerack.fleet.support.ConnectedPeers;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeNetwork;
 import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.RouterProcesses;
 
 /**
  * Labels move between workers of three shards while owners end, are stopped and lose the store.
@@ -40,9 +38,8 @@
   private static final List<String> LABELS = List.of("", "left", "right");
 
   private final FakeFleet fleet = new FakeFleet(6, Duration.ofMillis(150));
-  private final ConnectedPeers peers = new ConnectedPeers();
-  private final Map<String, JobRouter> routers = new HashMap<>();
-  private final Map<String, FakeFleet.Vm> vms = new HashMap<>();
+  private final RouterProcesses processes =
+      new RouterProcesses(fleet, fleet.workers.size() / SHARDS);
   private final Set<String> accepted = new HashSet<>();
   private int started;
   private int jobs;
@@ -64,8 +61,9 @@
       disturb(random);
       assertThat(fleet.observer.violations()).as("seed %d", seed).isEmpty();
     }
-    vms.values().forEach(vm -> vm.storeConnection.setFault(FakeStore.Fault.NONE));
-    vms.values()
+    processes.vms().forEach(vm -> vm.storeConnection.setFault(FakeStore.Fault.NONE));
+    processes
+        .vms()
         .forEach(
             vm ->
                 fleet.workers.forEach(
@@ -92,22 +90,21 @@
   }
 
   private void disturb(Random random) {
-    List<String> names = new ArrayList<>(routers.keySet());
-    names.sort(null);
+    List<String> names = processes.names();
     String name = names.get(random.nextInt(names.size()));
     FakeWorker worker = fleet.workers.get(random.nextInt(fleet.workers.size()));
     switch (random.nextInt(10)) {
       case 0 -> {
-        kill(name);
+        processes.kill(name);
         start();
       }
       case 1 -> {
-        routers.get(name).releaseShards(() -> {});
-        routers.remove(name);
+        processes.stop(name);
         start();
       }
-      case 2 -> vms.get(name).storeConnection.setFault(FAULTS.get(random.nextInt(FAULTS.size())));
-      case 3 -> vms.get(name).storeConnection.setFault(FakeStore.Fault.NONE);
+      case 2 ->
+          processes.vm(name).storeConnection.setFault(FAULTS.get(random.nextInt(FAULTS.size())));
+      case 3 -> processes.vm(name).storeConnection.setFault(FakeStore.Fault.NONE);
       case 4 -> moveLabels(random);
       case 5 -> fleet.network.setPath(name, worker, FakeNetwork.Path.CUT);
       case 6 -> fleet.network.setPath(name, worker, FakeNetwork.Path.OPEN);
@@ -130,8 +127,8 @@
               0));
     }
     Submission plain = FakeFleet.job(id, 1, 150, false);
-    routers
-        .get(name)
+    processes
+        .router(name)
         .submit(
             new Submission(
                 id,
@@ -148,9 +145,8 @@
   }
 
   private JobRouter anyRouter(Random random) {
-    List<String> names = new ArrayList<>(routers.keySet());
-    names.sort(null);
-    return routers.get(names.get(random.nextInt(names.size())));
+    List<String> names = processes.names();
+    return processes.router(names.get(random.nextInt(names.size())));
   }
 
   private void moveLabels(Random random) {
@@ -166,27 +162,6 @@
   }
 
   private void start() {
-    String name = "vm-" + started++;
-    FakeFleet.Vm vm = fleet.vm(name);
-    JobRouter router =
-        new JobRouter(
-            fleet.timer,
-            new SplittableRandom(started),
-            peers,
-            vm.shardFactory,
-            new EntryVm(vm.id, name, "a"),
-            0.75,
-            fleet.workers.size() / SHARDS);
-    vms.put(name, vm);
-    routers.put(name, router);
-    peers.add(name, router);
-    router.start();
-  }
-
-  private void kill(String name) {
-    peers.end(name);
-    fleet.network.stopVm(name);
-    vms.get(name).storeConnection.setFault(FakeStore.Fault.UNRESPONSIVE);
-    routers.remove(name).releaseShards(() -> {});
+    processes.start("vm-" + started++);
   }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferTest.java
@@ -8,10 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobSpec;
 import org.lovagerack.fleet.job.JobState;
@@ -19,10 +17,9 @@
 import org.lovagerack.fleet.job.StepSpec;
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.shard.ShardMap;
-import org.lovagerack.fleet.support.ConnectedPeers;
 import org.lovagerack.fleet.support.FakeFleet;
-import org.lovagerack.fleet.support.FakeStore;
 import org.lovagerack.fleet.support.FakeWorker;
+import org.lovagerack.fleet.support.RouterProcesses;
 import org.lovagerack.foundation.error.ErrorKind;
 
 /**
@@ -37,28 +34,12 @@
   private static final ShardMap MAP = new ShardMap(SHARDS);
 
   private final FakeFleet fleet = new FakeFleet(6, TASK_TIME);
-  private final ConnectedPeers peers = new ConnectedPeers();
-  private final Map<String, JobRouter> routers = new HashMap<>();
-  private final Map<String, FakeFleet.Vm> vms = new HashMap<>();
+  private final RouterProcesses processes =
+      new RouterProcesses(fleet, fleet.workers.size() / SHARDS);
   private final Map<String, List<JobAnswer>> answers = new HashMap<>();
 
   private void start(String... names) {
-    for (String name : names) {
-      FakeFleet.Vm vm = fleet.vm(name);
-      JobRouter router =
-          new JobRouter(
-              fleet.timer,
-              new SplittableRandom(name.hashCode()),
-              peers,
-              vm.shardFactory,
-              new EntryVm(vm.id, name, "a"),
-              0.75,
-              fleet.workers.size() / SHARDS);
-      vms.put(name, vm);
-      routers.put(name, router);
-      peers.add(name, router);
-      router.start();
-    }
+    List.of(names).forEach(processes::start);
     run(5000);
   }
 
@@ -66,13 +47,6 @@
     fleet.timer.advance(Duration.ofMillis(millis));
   }
 
-  private void kill(String name) {
-    peers.end(name);
-    fleet.network.stopVm(name);
-    vms.get(name).storeConnection.setFault(FakeStore.Fault.UNRESPONSIVE);
-    routers.remove(name).releaseShards(() -> {});
-  }
-
   private FakeWorker workerOfShard(int shard) {
     return fleet.workers.stream()
         .filter(worker -> MAP.ofWorker(worker.entry().id()) == shard)
@@ -101,8 +75,8 @@
 
   private void submit(String vm, String id, boolean bestEffort, StepSpec... steps) {
     Submission plain = FakeFleet.job(id, 1, TASK_TIME.toMillis(), bestEffort);
-    routers
-        .get(vm)
+    processes
+        .router(vm)
         .submit(
             new Submission(
                 id,
@@ -117,8 +91,8 @@
   private Map<String, JobState> states(String vm) {
     Map<String, JobState> states = new HashMap<>();
     for (String id : answers.keySet()) {
-      routers
-          .get(vm)
+      processes
+          .router(vm)
           .state(
               id,
               answer -> {
@@ -204,7 +178,7 @@
     submit("one", false, step("rare", List.of()));
     run(100);
     setLabels(second, "rare");
-    vms.values().forEach(vm -> vm.directory.remove(first.entry().id()));
+    processes.vms().forEach(vm -> vm.directory.remove(first.entry().id()));
     first.restart();
     run(15_000);
 
@@ -230,9 +204,9 @@
     setLabels(workerOfShard(0), "rare");
     submit("one", false, step("rare", List.of()), step("rare", List.of(0)));
     run(200);
-    kill("two");
+    processes.kill("two");
     run(700);
-    kill("three");
+    processes.kill("three");
     run(25_000);
 
     assertAllCompleted("one");
@@ -248,7 +222,7 @@
     submit("one", false, step("rare", List.of()));
     run(400);
     List<JobAnswer> cancels = new ArrayList<>();
-    jobs().forEach(id -> routers.get("one").cancel(id, cancels::add));
+    jobs().forEach(id -> processes.router("one").cancel(id, cancels::add));
     run(500);
 
     assertThat(cancels).hasSize(JOBS).containsOnly(new JobAnswer.Cancelled());
@@ -272,9 +246,9 @@
               plain.clientTimeout(),
               plain.entry(),
               false);
-      routers.get("one").submit(submission, answer -> {});
+      processes.router("one").submit(submission, answer -> {});
       run(20);
-      routers.get("one").abandon(submission);
+      processes.router("one").abandon(submission);
     }
     run(300);
 
