--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
@@ -172,7 +172,9 @@
     return true;
   }
 
-  /** Returns a shard with a listed worker for one of the steps; many jobs use all such workers. */
+  /**
+   * Returns a shard with a listed worker for one of the steps; jobs are spread over these workers.
+   */
   private OptionalInt shardFor(Job job, String service, Set<StepSpec> steps) {
     List<Integer> shards = new ArrayList<>();
     for (WorkerEntry worker : directory.entries()) {
