--- a/fleet/src/main/java/org/lovagerack/fleet/entry/FleetView.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/FleetView.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.lovagerack.fleet.job.EntryVm;
+import org.lovagerack.fleet.shard.FormerWorkers;
 import org.lovagerack.fleet.worker.WorkerEntry;
 
 /**
@@ -35,8 +36,10 @@
     entries = List.copyOf(entries);
   }
 
-  /** Returns the workers of the owner's shards, listed or not. */
-  public List<WorkerEntry> allWorkers() {
-    return Stream.concat(workers.stream(), unlistedWorkers.stream()).toList();
+  /** Returns the workers that the owner may use for one of its shards, listed or not. */
+  FormerWorkers workersOf(int shard) {
+    return new FormerWorkers(
+        Stream.concat(workers.stream(), unlistedWorkers.stream()).toList(),
+        completeShards.contains(shard));
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -133,8 +133,7 @@
         peers,
         lease,
         new IslandController(timer, peers, factory, rows, self),
-        new OwnerWorkers(timer, shard),
-        () -> shardFactory.workers().directory().entries(),
+        new OwnerWorkers(timer, shardFactory.workers().directory()),
         takeovers,
         shard);
   }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/OwnerWorkers.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/OwnerWorkers.java
@@ -1,13 +1,13 @@
 package org.lovagerack.fleet.entry;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.lovagerack.fleet.shard.FormerWorkers;
 import org.lovagerack.fleet.shard.LeaseRecord;
+import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.fleet.worker.WorkerId;
 import org.lovagerack.foundation.timer.TimerService;
@@ -27,65 +27,46 @@
   private static final Duration MAX_AGE = Duration.ofSeconds(3);
 
   private final TimerService timer;
-  private final int shard;
-  private long term;
-  private long ownerIncarnation;
-  private List<WorkerEntry> workers = List.of();
-  private boolean complete;
+  private final WorkerDirectory directory;
+  private Optional<LeaseRecord> owner = Optional.empty();
+  private FormerWorkers workers = FormerWorkers.incomplete(List.of());
   private long knownAtNanos;
 
   /**
    * Creates an instance that knows no owner.
    *
-   * @param shard index of the shard
+   * @param directory workers of all shards that this VM has seen listed, also earlier
    */
-  OwnerWorkers(TimerService timer, int shard) {
+  OwnerWorkers(TimerService timer, WorkerDirectory directory) {
     this.timer = timer;
-    this.shard = shard;
+    this.directory = directory;
   }
 
   /**
-   * Records the view of another owner.
+   * Records the workers of an owner.
    *
-   * @param requestedNanos monotonic time at which the owner was asked for it
+   * @param lease lease of the owner's term
+   * @param atNanos monotonic time at which it had no other workers
    */
-  void viewConfirmed(LeaseRecord owner, FleetView view, long requestedNanos) {
-    term = owner.term();
-    ownerIncarnation = owner.ownerIncarnation();
-    workers = view.allWorkers();
-    complete = view.completeShards().contains(shard);
-    knownAtNanos = requestedNanos;
-  }
-
-  /** Records the workers of a term of this process that ends now. */
-  void ownTermEnded(
-      long ownTerm, long ownIncarnation, Collection<WorkerEntry> ownWorkers, boolean ownComplete) {
-    term = ownTerm;
-    ownerIncarnation = ownIncarnation;
-    workers = List.copyOf(ownWorkers);
-    complete = ownComplete;
-    knownAtNanos = timer.nanoTime();
+  void record(LeaseRecord lease, FormerWorkers ofOwner, long atNanos) {
+    owner = Optional.of(lease);
+    workers = ofOwner;
+    knownAtNanos = atNanos;
   }
 
   /**
    * Returns the workers that former owners may have used.
    *
    * @param predecessor lease of the last former owner; empty if it cannot be read
-   * @param listed workers that this VM has seen listed, also earlier
    */
-  FormerWorkers before(Optional<LeaseRecord> predecessor, Collection<WorkerEntry> listed) {
+  FormerWorkers before(Optional<LeaseRecord> predecessor) {
     Map<WorkerId, WorkerEntry> known = new HashMap<>();
-    workers.forEach(worker -> known.put(worker.id(), worker));
-    listed.forEach(worker -> known.put(worker.id(), worker));
+    workers.workers().forEach(worker -> known.put(worker.id(), worker));
+    directory.entries().forEach(worker -> known.put(worker.id(), worker));
     boolean current =
-        complete
-            && predecessor
-                .filter(
-                    lease -> lease.term() == term && lease.ownerIncarnation() == ownerIncarnation)
-                .isPresent()
+        owner.isPresent()
+            && predecessor.filter(owner.get()::sameTerm).isPresent()
             && timer.nanoTime() - knownAtNanos <= MAX_AGE.toNanos();
-    return current
-        ? FormerWorkers.complete(known.values())
-        : FormerWorkers.incomplete(known.values());
+    return new FormerWorkers(List.copyOf(known.values()), workers.complete() && current);
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
@@ -1,14 +1,11 @@
 package org.lovagerack.fleet.entry;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
-import java.util.stream.Stream;
 import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
@@ -18,7 +15,6 @@
 import org.lovagerack.fleet.shard.OwnedShard;
 import org.lovagerack.fleet.shard.ShardLease;
 import org.lovagerack.fleet.store.StoredRow;
-import org.lovagerack.fleet.worker.WorkerEntry;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 import org.lovagerack.foundation.timer.TimerService;
@@ -50,7 +46,6 @@
   private final ShardLease lease;
   private final IslandController island;
   private final OwnerWorkers ownerWorkers;
-  private final Supplier<Collection<WorkerEntry>> listedWorkers;
   private final TakeoverScheduler takeovers;
   private final int shard;
   private final Set<SubmissionRelay> relays = new LinkedHashSet<>();
@@ -65,18 +60,12 @@
   /** Whether the store could not be reached since the owner last answered. */
   private boolean cutOff;
 
-  /**
-   * Creates a tracker that does nothing until {@link #start}.
-   *
-   * @param listedWorkers returns the workers of all shards that this VM has seen listed
-   */
   ShardOwnerTracker(
       TimerService timer,
       PeerCalls peers,
       ShardLease lease,
       IslandController island,
       OwnerWorkers ownerWorkers,
-      Supplier<Collection<WorkerEntry>> listedWorkers,
       TakeoverScheduler takeovers,
       int shard) {
     this.timer = timer;
@@ -84,7 +73,6 @@
     this.lease = lease;
     this.island = island;
     this.ownerWorkers = ownerWorkers;
-    this.listedWorkers = listedWorkers;
     this.takeovers = takeovers;
     this.shard = shard;
   }
@@ -274,7 +262,7 @@
       case PeerCalls.Alive alive -> {
         ownerResponded();
         if (alive.viewVersion() == island.view().version()) {
-          ownerWorkers.viewConfirmed(target, island.view(), sentNanos);
+          ownerWorkers.record(target, island.view().workersOf(shard), sentNanos);
         } else {
           requestView(target);
         }
@@ -309,7 +297,7 @@
         newer -> {
           island.updateView(newer);
           if (ownedShard == null && target.equals(owner)) {
-            ownerWorkers.viewConfirmed(target, newer, sentNanos);
+            ownerWorkers.record(target, newer.workersOf(shard), sentNanos);
           }
         });
   }
@@ -378,7 +366,7 @@
         FormerWorkers former =
             taken.firstTerm()
                 ? FormerWorkers.complete(List.of())
-                : ownerWorkers.before(taken.predecessor(), listedWorkers.get());
+                : ownerWorkers.before(taken.predecessor());
         ownedShard.start(former, this::closeOwnedShard);
         LOG.write(
             LogEvent.SHARD_TAKEN,
@@ -417,12 +405,7 @@
 
   private void closeOwnedShard() {
     if (ownedShard != null) {
-      ownerWorkers.ownTermEnded(
-          ownedShard.term(),
-          ownedShard.ownerIncarnation(),
-          Stream.concat(ownedShard.listedWorkers().stream(), ownedShard.unlistedWorkers().stream())
-              .toList(),
-          ownedShard.knowsAllWorkers());
+      ownerWorkers.record(ownedShard.lease(), ownedShard.workers(), timer.nanoTime());
       ownedShard.close();
       ownedShard = null;
     }
--- a/fleet/src/main/java/org/lovagerack/fleet/job/StepSpec.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/StepSpec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
 /**
  * One step of a job: a number of tasks with equal requirements.
@@ -42,4 +43,9 @@
     }
     after = List.copyOf(after);
   }
+
+  /** Returns whether a worker with these labels has the one that the step requires, if any. */
+  public boolean acceptsLabels(Set<String> labels) {
+    return requiredLabel.isEmpty() || labels.contains(requiredLabel);
+  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/HostedJobs.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/HostedJobs.java
@@ -127,7 +127,6 @@
             false);
     job.restoreTransferred(request.progress(), dependencies.timer().nanoTime());
     registry.add(job);
-    JobState firstState = request.cancel() ? JobState.CANCELLED : JobState.QUEUED;
     log.append(
         new CommitEntry(
             List.of(new RowCondition(rows.ended(job.endKey()), RowCondition.ABSENT)),
@@ -136,34 +135,29 @@
                 new RowWrite(rows.progress(job.id()), JobCodec.encode(request.progress()))),
             List.of(),
             true,
-            new StoredListener(job, firstState, callback)));
+            new StoredListener(job, request, callback)));
   }
 
   private final class StoredListener implements CommitEntry.Listener {
     private final Job job;
-    private final JobState firstState;
+    private final HostRequest request;
     private final Consumer<JobAnswer> callback;
 
-    StoredListener(Job job, JobState firstState, Consumer<JobAnswer> callback) {
+    StoredListener(Job job, HostRequest request, Consumer<JobAnswer> callback) {
       this.job = job;
-      this.firstState = firstState;
+      this.request = request;
       this.callback = callback;
     }
 
     @Override
     public void committed() {
       job.phase(Job.Phase.ACTIVE);
-      if (firstState.ended()) {
-        job.waiters().add(new Job.Waiter(Optional.empty(), callback));
-        finalizer.end(job, firstState);
-        return;
-      }
       losses.watch(job);
-      if (!runs.endIfDone(job)) {
+      if (!request.cancel() && !runs.endIfDone(job)) {
         registry.queue().add(job);
         placer.request();
       }
-      callback.accept(new JobAnswer.State(job.reportedState()));
+      answerActive(job, request, callback);
     }
 
     @Override
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.lovagerack.fleet.configuration.Queue;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
@@ -244,6 +245,11 @@
     return true;
   }
 
+  /** Returns the tasks that wait for placement and not for earlier steps. */
+  Stream<Task> readyTasks() {
+    return tasks.stream().filter(task -> task.phase() == Task.Phase.WAITING && isReady(task));
+  }
+
   void markTaskDone(Task task) {
     if (task.phase() != Task.Phase.DONE) {
       task.markDone();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
@@ -95,6 +95,11 @@
       finish(job);
       return;
     }
+    storeEnd(job, record, () -> finish(job));
+  }
+
+  /** Replaces the stored job by its end. */
+  private void storeEnd(Job job, EndedJob record, Runnable committed) {
     List<RowKey> removals = new ArrayList<>();
     removals.add(rows.job(job.id()));
     if (job.progressStored()) {
@@ -107,7 +112,7 @@
         "end of job " + job.id(),
         () -> {
           ended.putDurable(job.endKey(), record);
-          finish(job);
+          committed.run();
         },
         () -> answer(job, new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)));
   }
@@ -122,19 +127,7 @@
             JobState.QUEUED,
             now,
             Optional.of(new Handback(job.progress(now), job.upcomingRunNumber())));
-    append(
-        List.of(new RowWrite(rows.ended(job.endKey()), JobCodec.encode(record))),
-        List.of(rows.job(job.id()), rows.progress(job.id())),
-        false,
-        "handback of job " + job.id(),
-        () -> {
-          ended.putDurable(job.endKey(), record);
-          job.phase(Job.Phase.ENDED);
-          job.unacknowledgedResults().forEach(UnacknowledgedResult::acknowledge);
-          registry.remove(job);
-          answer(job, record.answerToHome());
-        },
-        () -> answer(job, new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)));
+    storeEnd(job, record, () -> close(job, record.answerToHome()));
   }
 
   /** Stores where the tasks of a durable job run, with its progress. */
@@ -142,9 +135,7 @@
     job.markProgressStored();
     append(
         List.of(
-            new RowWrite(rows.job(job.id()), JobCodec.encode(job.submitted())),
-            new RowWrite(
-                rows.progress(job.id()), JobCodec.encode(job.progress(wallMillis.getAsLong())))),
+            new RowWrite(rows.job(job.id()), JobCodec.encode(job.submitted())), progressWrite(job)),
         List.of(),
         false,
         "site of job " + job.id(),
@@ -152,18 +143,22 @@
         () -> {});
   }
 
-  /** Ends a best-effort job with the answer of the shard to which it was transferred. */
-  void endAsAnswered(Job job, JobAnswer answer) {
-    if (answer instanceof JobAnswer.State state && state.state().ended()) {
-      end(job, state.state());
-    } else if (answer instanceof JobAnswer.Refused refused && !job.repeated()) {
-      counters.refused(refused.kind());
-      job.phase(Job.Phase.ENDED);
-      registry.remove(job);
-      answer(job, refused);
-    } else {
-      abandon(job);
-    }
+  /** Refuses a job that certainly never runs. */
+  void refuse(Job job, JobAnswer.Refused refusal, String reason) {
+    counters.refused(refusal.kind());
+    LOG.write(
+        LogEvent.JOB_REFUSED,
+        "job",
+        job.id(),
+        "queue",
+        job.queue().name(),
+        "kind",
+        refusal.kind(),
+        "retryAfter",
+        refusal.retryAfter(),
+        "reason",
+        reason);
+    close(job, refusal);
   }
 
   /** Ends a best-effort job without waiting callers; records no final state. */
@@ -199,7 +194,6 @@
   }
 
   private void finish(Job job) {
-    job.phase(Job.Phase.ENDED);
     Duration took = Duration.ofNanos(timer.nanoTime() - job.acceptedNanos());
     counters.ended(job.finalState(), took);
     LOG.write(
@@ -215,9 +209,15 @@
         "objective",
         job.objective());
     stopRuns(job);
+    close(job, job.finalAnswer());
+  }
+
+  /** Forgets a job that has ended and answers its callers. */
+  private void close(Job job, JobAnswer answer) {
+    job.phase(Job.Phase.ENDED);
     job.unacknowledgedResults().forEach(UnacknowledgedResult::acknowledge);
     registry.remove(job);
-    answer(job, job.finalAnswer());
+    answer(job, answer);
   }
 
   private void stopRuns(Job job) {
@@ -254,9 +254,7 @@
   private void storeProgress(Job job, Runnable committed) {
     job.markProgressStored();
     append(
-        List.of(
-            new RowWrite(
-                rows.progress(job.id()), JobCodec.encode(job.progress(wallMillis.getAsLong())))),
+        List.of(progressWrite(job)),
         List.of(),
         job.bestEffort(),
         "progress of job " + job.id(),
@@ -264,6 +262,11 @@
         () -> {});
   }
 
+  private RowWrite progressWrite(Job job) {
+    return new RowWrite(
+        rows.progress(job.id()), JobCodec.encode(job.progress(wallMillis.getAsLong())));
+  }
+
   private void removeExpired() {
     if (log.closed()) {
       return;
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -32,6 +32,7 @@
   private final ShardRows rows;
   private final DecisionLog log;
   private final JobRegistry registry;
+  private final JobFinalizer finalizer;
   private final EndedJobs ended;
   private final LossRecords lossRecords;
   private final LossTracker losses;
@@ -52,6 +53,7 @@
       ShardRows rows,
       DecisionLog log,
       JobRegistry registry,
+      JobFinalizer finalizer,
       EndedJobs ended,
       LossRecords lossRecords,
       LossTracker losses,
@@ -65,6 +67,7 @@
     this.rows = rows;
     this.log = log;
     this.registry = registry;
+    this.finalizer = finalizer;
     this.ended = ended;
     this.lossRecords = lossRecords;
     this.losses = losses;
@@ -108,8 +111,8 @@
             submission.repeated());
     Optional<JobAnswer.Refused> refusal = refusal(job);
     if (refusal.isPresent()) {
-      refuse(job, refusal.get(), "queued core-seconds before it: " + workBefore(job));
-      callback.accept(refusal.get());
+      job.waiters().add(waiter);
+      finalizer.refuse(job, refusal.get(), "queued core-seconds before it: " + workBefore(job));
       return;
     }
     job.waiters().add(waiter);
@@ -123,7 +126,7 @@
       accept(job);
       if (!runs.endIfDone(job)) {
         losses.check();
-        checkTransfer(job);
+        transfers.check(job);
       }
     } else {
       store(job);
@@ -132,16 +135,11 @@
 
   /** Refuses a best-effort job that has no run and can no longer be placed in time. */
   void refuseUnstarted(Job job) {
-    registry.remove(job);
-    job.phase(Job.Phase.ENDED);
-    JobAnswer.Refused refusal =
-        new JobAnswer.Refused(ErrorKind.OVERLOADED, ShardController.RETRY_AFTER_OUTAGE);
-    refuse(
+    finalizer.refuse(
         job,
-        refusal,
+        new JobAnswer.Refused(ErrorKind.OVERLOADED, ShardController.RETRY_AFTER_OUTAGE),
         "no worker had enough free resources for "
             + Duration.ofNanos(dependencies.timer().nanoTime() - job.acceptedNanos()));
-    JobFinalizer.answer(job, refusal);
   }
 
   private void store(Job job) {
@@ -176,28 +174,6 @@
     }
   }
 
-  private void checkTransfer(Job job) {
-    if (workersReported.getAsBoolean()) {
-      transfers.check(job);
-    }
-  }
-
-  private void refuse(Job job, JobAnswer.Refused refusal, String reason) {
-    dependencies.counters().refused(refusal.kind());
-    LOG.write(
-        LogEvent.JOB_REFUSED,
-        "job",
-        job.id(),
-        "queue",
-        job.queue().name(),
-        "kind",
-        refusal.kind(),
-        "retryAfter",
-        refusal.retryAfter(),
-        "reason",
-        reason);
-  }
-
   private Optional<JobAnswer.Refused> refusal(Job job) {
     if (!job.bestEffort() && !(log.storeAvailable() && log.leaseValid())) {
       return Optional.of(
@@ -208,14 +184,15 @@
       // The capacity is unknown until the workers have reported; few jobs arrive before that.
       return Optional.empty();
     }
-    if (!transfers.isPossible(job)) {
-      return Optional.of(JobTransfer.impossible());
+    boolean startsHere = transfers.canStartHere(job);
+    boolean home = dependencies.neighbours().isHome(job.id());
+    if (!transfers.isPossible(job) || (!startsHere && !home)) {
+      return Optional.of(
+          new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, ShardController.RETRY_AFTER_OUTAGE));
     }
-    if (!transfers.canStartHere(job)) {
+    if (!startsHere) {
       // The shard that can start it decides.
-      return dependencies.neighbours().isHome(job.id())
-          ? Optional.empty()
-          : Optional.of(JobTransfer.impossible());
+      return Optional.empty();
     }
     double ownWork = job.tasks().stream().mapToDouble(TaskQueue::estimatedWork).sum();
     double capacity = sessions.capacity(job.queue().service(), speeds);
@@ -245,7 +222,7 @@
     public void committed() {
       accept(job);
       JobFinalizer.answer(job, new JobAnswer.Accepted());
-      checkTransfer(job);
+      transfers.check(job);
     }
 
     @Override
@@ -257,11 +234,10 @@
 
     @Override
     public void dropped(String reason) {
-      registry.remove(job);
-      JobAnswer.Refused refusal =
-          new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, ShardController.RETRY_AFTER_OUTAGE);
-      refuse(job, refusal, reason);
-      JobFinalizer.answer(job, refusal);
+      finalizer.refuse(
+          job,
+          new JobAnswer.Refused(ErrorKind.PLATFORM_UNAVAILABLE, ShardController.RETRY_AFTER_OUTAGE),
+          reason);
     }
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.lovagerack.fleet.job.Handback;
 import org.lovagerack.fleet.job.HostRequest;
@@ -20,7 +21,6 @@
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
-import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 
@@ -52,6 +52,7 @@
   private final RunTracker runs;
   private final Placer placer;
   private final Predicate<Job> mayStart;
+  private final BooleanSupplier workersReported;
   private final Set<Job> cancelled = new HashSet<>();
   private final Set<Job> returning = new HashSet<>();
   private final Map<String, Submission> bestEffort = new HashMap<>();
@@ -61,6 +62,7 @@
    *
    * @param directory workers of all shards
    * @param mayStart returns whether tasks of a job may start now
+   * @param workersReported returns whether the workers have had time to report to this owner
    */
   JobTransfer(
       OwnedShardFactory dependencies,
@@ -72,7 +74,8 @@
       LossTracker losses,
       RunTracker runs,
       Placer placer,
-      Predicate<Job> mayStart) {
+      Predicate<Job> mayStart,
+      BooleanSupplier workersReported) {
     this.dependencies = dependencies;
     this.log = log;
     this.registry = registry;
@@ -83,6 +86,7 @@
     this.runs = runs;
     this.placer = placer;
     this.mayStart = mayStart;
+    this.workersReported = workersReported;
   }
 
   /** Returns whether each step of a job has a listed worker, in any shard, that can run it. */
@@ -109,20 +113,14 @@
 
   /** Does the same for one job. */
   void check(Job job) {
-    if (!isIdle(job)) {
+    if (!workersReported.getAsBoolean() || !isIdle(job)) {
       return;
     }
     String service = placer.service(job);
-    Set<StepSpec> ready = new HashSet<>();
-    for (Task task : job.tasks()) {
-      if (task.phase() == Task.Phase.WAITING && job.isReady(task)) {
-        ready.add(task.step());
-      }
-    }
-    if (ready.isEmpty() || ready.stream().anyMatch(step -> sessions.canRun(service, step))) {
+    if (job.readyTasks().anyMatch(task -> sessions.canRun(service, task.step()))) {
       return;
     }
-    OptionalInt shard = shardFor(job, service, ready);
+    OptionalInt shard = shardForReadyTasks(job, service);
     if (job.hosted()) {
       if (shard.isPresent()) {
         logTransfer(LogEvent.JOB_HANDED_BACK, job, shard.getAsInt());
@@ -173,9 +171,11 @@
   }
 
   /**
-   * Returns a shard with a listed worker for one of the steps; jobs are spread over these workers.
+   * Returns a shard with a listed worker for one of the job's ready tasks; jobs are spread over
+   * these workers.
    */
-  private OptionalInt shardFor(Job job, String service, Set<StepSpec> steps) {
+  private OptionalInt shardForReadyTasks(Job job, String service) {
+    List<StepSpec> steps = job.readyTasks().map(Task::step).distinct().toList();
     List<Integer> shards = new ArrayList<>();
     for (WorkerEntry worker : directory.entries()) {
       OptionalInt shard = dependencies.neighbours().otherShardOf(worker.id());
@@ -211,11 +211,21 @@
             submission,
             answer -> {
               if (job.phase() == Job.Phase.ACTIVE && bestEffort.remove(job.id()) != null) {
-                finalizer.endAsAnswered(job, answer);
+                endAsAnswered(job, answer);
               }
             });
   }
 
+  private void endAsAnswered(Job job, JobAnswer answer) {
+    if (answer instanceof JobAnswer.State state && state.state().ended()) {
+      finalizer.end(job, state.state());
+    } else if (answer instanceof JobAnswer.Refused refused && !job.repeated()) {
+      finalizer.refuse(job, refused, "the shard whose workers can run it refused it");
+    } else {
+      finalizer.abandon(job);
+    }
+  }
+
   private void transfer(Job job, int shard) {
     registry.queue().remove(job);
     job.site(new JobSite.Transferred(shard, job.site().transfers() + 1, job.upcomingRunNumber()));
@@ -302,9 +312,4 @@
   private static void logTransfer(LogEvent event, Job job, int shard) {
     LOG.write(event, "job", job.id(), "shard", shard, "transfers", job.site().transfers());
   }
-
-  /** Returns the refusal of a job that no worker can run. */
-  static JobAnswer.Refused impossible() {
-    return new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, ShardController.RETRY_AFTER_OUTAGE);
-  }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/LossTracker.java
@@ -93,9 +93,7 @@
 
   /** Returns whether every task of a queued job that could start is held back. */
   boolean isHeldBack(Job job) {
-    return job.tasks().stream()
-        .filter(task -> task.phase() == Task.Phase.WAITING && job.isReady(task))
-        .allMatch(task -> decide(task) == RestartPolicy.Decision.WAIT);
+    return job.readyTasks().allMatch(task -> decide(task) == RestartPolicy.Decision.WAIT);
   }
 
   /** Ends the job of a task that is not to be repeated; returns whether it did. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/OwnedShard.java
@@ -1,6 +1,7 @@
 package org.lovagerack.fleet.shard;
 
 import java.util.Collection;
+import java.util.stream.Stream;
 import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.worker.WorkerEntry;
@@ -12,8 +13,7 @@
   private final ShardLog log;
   private final ShardController controller;
   private final WorkerFeed workers;
-  private final long term;
-  private final long ownerIncarnation;
+  private final LeaseRecord lease;
   private Runnable lossListener = () -> {};
 
   OwnedShard(
@@ -23,8 +23,7 @@
       long leaseVersion,
       LeaseClock.Timestamp takenOverAt) {
     this.workers = dependencies.workers();
-    this.term = lease.term();
-    this.ownerIncarnation = lease.ownerIncarnation();
+    this.lease = lease;
     this.log =
         new ShardLog(
             dependencies.timer(),
@@ -58,14 +57,16 @@
     return log.token();
   }
 
-  /** Returns the token that was granted at the start of the term. */
-  public long term() {
-    return term;
+  /** Returns the lease with which the term began. */
+  public LeaseRecord lease() {
+    return lease;
   }
 
-  /** Returns the random number of the process that owns the shard. */
-  public long ownerIncarnation() {
-    return ownerIncarnation;
+  /** Returns the workers that this owner may use, for the next owner. */
+  public FormerWorkers workers() {
+    return new FormerWorkers(
+        Stream.concat(listedWorkers().stream(), unlistedWorkers().stream()).toList(),
+        knowsAllWorkers());
   }
 
   /** Returns the listed workers of the shard. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placement.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placement.java
@@ -37,7 +37,7 @@
 
   private static boolean isSuitable(StepSpec step, Candidate candidate) {
     return step.request().fitsIn(candidate.freeResources())
-        && (step.requiredLabel().isEmpty() || candidate.labels().contains(step.requiredLabel()))
+        && step.acceptsLabels(candidate.labels())
         && (step.maxPerWorker() == 0 || candidate.tasksOfStep() < step.maxPerWorker());
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
@@ -113,15 +113,13 @@
   }
 
   /** Returns whether the task could run on a worker on which it has not failed. */
-  private static boolean hasAlternative(Task task, List<WorkerSession> workers) {
-    String label = task.step().requiredLabel();
+  private static boolean hasAlternative(Task task, String service, List<WorkerSession> workers) {
     return workers.stream()
         .anyMatch(
             session ->
                 session.serving()
                     && !task.failedOn().contains(session.id())
-                    && task.step().request().fitsIn(session.entry().capacity())
-                    && (label.isEmpty() || session.entry().labels().contains(label)));
+                    && Suitability.canRun(service, task.step(), session.entry()));
   }
 
   /**
@@ -147,7 +145,7 @@
     }
     // A task that has failed on a worker waits for another one, so that it does not use up its
     // attempts on a worker that fails every run and is therefore often free.
-    boolean avoidFailed = !task.failedOn().isEmpty() && hasAlternative(task, workers);
+    boolean avoidFailed = !task.failedOn().isEmpty() && hasAlternative(task, service, workers);
     List<WorkerSession> eligible = new ArrayList<>();
     List<Candidate> candidates = new ArrayList<>();
     for (WorkerSession session : workers) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -159,7 +159,8 @@
             losses,
             runs,
             placer,
-            this::mayStart);
+            this::mayStart,
+            () -> workersReported);
     finalizer.setReleaseListener(transfers::release);
     this.hostedJobs =
         new HostedJobs(dependencies, rows, log, registry, ended, finalizer, losses, runs, placer);
@@ -169,6 +170,7 @@
             rows,
             log,
             registry,
+            finalizer,
             ended,
             lossRecords,
             losses,
@@ -378,9 +380,7 @@
     }
     openGateIfAllJoined();
     losses.check();
-    if (workersReported) {
-      transfers.check();
-    }
+    transfers.check();
     dependencies.entryLiveness().removeUnreachable();
     placer.request();
     sessions.removeUnlisted(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Suitability.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Suitability.java
@@ -13,6 +13,6 @@
     return worker.service().equals(service)
         && !worker.draining()
         && step.request().fitsIn(worker.capacity())
-        && (step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel()));
+        && step.acceptsLabels(worker.labels());
   }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/ShardOwnerTrackerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/ShardOwnerTrackerTest.java
@@ -36,8 +36,7 @@
           peers,
           vm.lease(),
           island,
-          new OwnerWorkers(fleet.timer, 0),
-          vm.directory::entries,
+          new OwnerWorkers(fleet.timer, vm.directory),
           new TakeoverScheduler(fleet.timer, new SplittableRandom(1), 1, () -> 0),
           0);
 
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -50,8 +50,7 @@
               vm.shardFactory,
               ShardRows.of(0),
               new EntryVm(vm.id, "entry", "a")),
-          new OwnerWorkers(fleet.timer, 0),
-          vm.directory::entries,
+          new OwnerWorkers(fleet.timer, vm.directory),
           new TakeoverScheduler(fleet.timer, new SplittableRandom(1), 1, () -> 0),
           0);
   private final List<JobAnswer> answers = new ArrayList<>();
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/UnlistedWorkerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/UnlistedWorkerTest.java
@@ -109,7 +109,8 @@
     expire(worker);
 
     assertThat(processes.router("first").viewVersion("a")).isNotEqualTo(version);
-    assertThat(processes.router("first").view("a").allWorkers()).hasSize(fleet.workers.size());
+    assertThat(processes.router("first").view("a").workersOf(0).workers())
+        .hasSize(fleet.workers.size());
     assertThat(processes.router("first").view("a").workers()).hasSize(fleet.workers.size() - 1);
     assertThat(processes.router("first").view("a").completeShards()).containsExactly(0);
   }
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.entry.JobRouter;
 import org.lovagerack.fleet.job.EntryId;
@@ -11,7 +12,7 @@
 import org.lovagerack.fleet.job.HostRequest;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
-import org.lovagerack.fleet.job.JobHost;
+import org.lovagerack.fleet.job.JobReceiver;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
@@ -107,7 +108,11 @@
                       entry,
                       repeated,
                       answer,
-                      submission -> submit(request, submission, answer)));
+                      submission ->
+                          receiver(request, submission.jobId())
+                              .ifPresentOrElse(
+                                  owner -> owner.submit(submission, answer),
+                                  () -> answer.accept(PeerProtocol.NOT_OWNER))));
     } else if (path.endsWith(PeerProtocol.HOST_SUFFIX)) {
       request.body().onSuccess(body -> host(request, body, entry, answer));
     } else if (path.endsWith(PeerProtocol.ABANDON_SUFFIX)) {
@@ -122,7 +127,8 @@
                       false,
                       answer,
                       submission -> {
-                        abandon(request, submission);
+                        receiver(request, submission.jobId())
+                            .ifPresent(owner -> owner.abandon(submission));
                         answer.accept(new JobAnswer.Cancelled());
                       }));
     } else if (request.method().equals(HttpMethod.DELETE)) {
@@ -132,28 +138,21 @@
     }
   }
 
-  private void submit(
-      HttpServerRequest request, Submission submission, Consumer<JobAnswer> answer) {
-    if (request.headers().contains(PeerProtocol.SHARD_HEADER)) {
-      withHost(request, answer, host -> host.submit(submission, answer));
-    } else {
-      withOwnedJobs(submission.jobId(), answer, jobs -> jobs.submit(submission, answer));
-    }
-  }
-
-  private void abandon(HttpServerRequest request, Submission submission) {
-    if (request.headers().contains(PeerProtocol.SHARD_HEADER)) {
-      router.localHost(shard(request)).ifPresent(host -> host.abandon(submission));
-    } else {
-      router.localJobs(submission.jobId()).ifPresent(jobs -> jobs.abandon(submission));
-    }
+  /** Returns the receiver of a submission: the shard that the call names, or that of the job. */
+  private Optional<? extends JobReceiver> receiver(HttpServerRequest request, String jobId) {
+    return request.headers().contains(PeerProtocol.SHARD_HEADER)
+        ? router.localHost(shard(request))
+        : router.localJobs(jobId);
   }
 
   private void host(
       HttpServerRequest request, Buffer body, EntryId entry, Consumer<JobAnswer> answer) {
     try {
       HostRequest decoded = JobCodec.decodeHostRequest(Bytes.copyOf(body.getBytes()));
-      withHost(request, answer, host -> host.host(decoded, answer));
+      router
+          .localHost(shard(request))
+          .ifPresentOrElse(
+              host -> host.host(decoded, answer), () -> answer.accept(PeerProtocol.NOT_OWNER));
     } catch (MalformedRecordException e) {
       reject(e, entry, answer);
     } catch (RuntimeException e) {
@@ -173,13 +172,6 @@
     answer.accept(new JobAnswer.Unresolved(ErrorKind.INTERNAL));
   }
 
-  private void withHost(
-      HttpServerRequest request, Consumer<JobAnswer> answer, Consumer<JobHost> call) {
-    router
-        .localHost(shard(request))
-        .ifPresentOrElse(call, () -> answer.accept(PeerProtocol.NOT_OWNER));
-  }
-
   private static int shard(HttpServerRequest request) {
     return (int) Math.clamp(numberHeader(request, PeerProtocol.SHARD_HEADER), -1, MAX_SHARD);
   }
