Take along what a best-effort job has run when it changes its shard or owner

Cause: JobTransfer submitted the job to the other shard as a fresh one. That shard judged it from the first step on and refused it, and the home passed the refusal on without asking whether something had run. A best-effort job was never handed back. The same view was wrong in ShardController.close for jobs that another shard runs, in the intake of a host (overload, finished steps), and for jobs that no worker of any shard can continue.

Change: a submission carries what has run (CarriedState); a host continues from there and hands the job back; Job.neverRan is false while another shard may run the job; an owner that gives its shard away tells the relay what has run; a job that can go nowhere ends at once, refused only if nothing of it can have run (event 2122 otherwise).

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -111,7 +111,11 @@
     if (finished || (sentAttempt != attempt && !definite)) {
       return;
     }
-    if (OwnerFailures.isOwnerFailure(answer)) {
+    if (answer instanceof JobAnswer.HandedBack handedBack) {
+      submission = submission.continuing(handedBack.handback());
+      tracker.suspectOwner();
+      retryOrFinish(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+    } else if (OwnerFailures.isOwnerFailure(answer)) {
       if (answer instanceof JobAnswer.Unresolved) {
         submission = submission.asRepeated();
       } else {
--- a/fleet/src/main/java/org/lovagerack/fleet/job/EndedJob.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/EndedJob.java
@@ -10,7 +10,7 @@
  * @param handback what the shard that accepted the job needs to continue it; empty unless the job
  *     was handed back
  */
-public record EndedJob(JobState state, long endedAtMillis, Optional<Handback> handback) {
+public record EndedJob(JobState state, long endedAtMillis, Optional<CarriedState> handback) {
 
   /** Creates the record of a job with a final state. */
   public EndedJob(JobState state, long endedAtMillis) {
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobAnswer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobAnswer.java
@@ -27,11 +27,13 @@
   record Pending(long jobs) implements JobAnswer {}
 
   /**
-   * A transferred job was handed back, because the workers of its host cannot run its tasks.
+   * The owner does not run the job any further: the workers of a host cannot run its tasks, or the
+   * owner gives the shard away. In the second case, its runs may go on until the next owner has
+   * claimed or stopped them.
    *
    * @param handback state of the job
    */
-  record HandedBack(Handback handback) implements JobAnswer {}
+  record HandedBack(CarriedState handback) implements JobAnswer {}
 
   /** There is no such job. */
   record UnknownJob() implements JobAnswer {}
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
@@ -21,6 +21,9 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** Token of a job that no owner has accepted yet. */
+  private static final long NO_TOKEN = 0;
+
   private JobCodec() {}
 
   /** Encodes a job. */
@@ -98,6 +101,38 @@
     };
   }
 
+  /** Encodes what a submission asks for; the transport tells who submits it. */
+  public static Bytes encode(Submission submission) {
+    ObjectNode node =
+        jobNode(
+            new SubmittedJob(submission.jobId(), submission.queue(), NO_TOKEN, submission.spec()));
+    submission.carried().ifPresent(carried -> node.set("carried", carriedStateNode(carried)));
+    return bytes(node);
+  }
+
+  /**
+   * Decodes a submission.
+   *
+   * @param clientTimeout how long the client waits for the answer
+   * @param entry entry VM process that the client is connected to
+   * @param repeated whether a former owner may have received the job
+   * @throws MalformedRecordException if a field is missing or out of range
+   */
+  public static Submission decodeSubmission(
+      Bytes encoded, Duration clientTimeout, EntryId entry, boolean repeated)
+      throws MalformedRecordException {
+    JsonNode node = parse(encoded);
+    SubmittedJob job = job(node);
+    return new Submission(
+        job.id(),
+        job.queue(),
+        job.spec(),
+        clientTimeout,
+        entry,
+        repeated,
+        node.has("carried") ? Optional.of(carriedState(node.get("carried"))) : Optional.empty());
+  }
+
   /** Encodes a request to the host of a job. */
   public static Bytes encode(HostRequest request) {
     ObjectNode node = MAPPER.createObjectNode();
@@ -120,29 +155,29 @@
         field(node, "cancel").asBoolean());
   }
 
-  /** Encodes the state of a job that was handed back. */
-  public static Bytes encode(Handback handback) {
-    return bytes(handbackNode(handback));
+  /** Encodes the state of a job that changes its shard. */
+  public static Bytes encode(CarriedState state) {
+    return bytes(carriedStateNode(state));
   }
 
   /**
-   * Decodes the state of a job that was handed back.
+   * Decodes the state of a job that changes its shard.
    *
    * @throws MalformedRecordException if a field is missing or out of range
    */
-  public static Handback decodeHandback(Bytes encoded) throws MalformedRecordException {
-    return handback(parse(encoded));
+  public static CarriedState decodeCarriedState(Bytes encoded) throws MalformedRecordException {
+    return carriedState(parse(encoded));
   }
 
-  private static ObjectNode handbackNode(Handback handback) {
+  private static ObjectNode carriedStateNode(CarriedState state) {
     ObjectNode node = MAPPER.createObjectNode();
-    node.set("progress", progressNode(handback.progress()));
-    node.put("nextRun", handback.nextRun());
+    node.set("progress", progressNode(state.progress()));
+    node.put("nextRun", state.nextRun());
     return node;
   }
 
-  private static Handback handback(JsonNode node) throws MalformedRecordException {
-    return new Handback(progress(field(node, "progress")), field(node, "nextRun").asInt());
+  private static CarriedState carriedState(JsonNode node) throws MalformedRecordException {
+    return new CarriedState(progress(field(node, "progress")), field(node, "nextRun").asInt());
   }
 
   /** Encodes progress. */
@@ -233,7 +268,7 @@
     ObjectNode node = MAPPER.createObjectNode();
     node.put("state", job.state().name().toLowerCase(Locale.ROOT));
     node.put("endedAtMillis", job.endedAtMillis());
-    job.handback().ifPresent(handback -> node.set("handback", handbackNode(handback)));
+    job.handback().ifPresent(handback -> node.set("handback", carriedStateNode(handback)));
     return bytes(node);
   }
 
@@ -248,7 +283,7 @@
       return new EndedJob(
           JobState.QUEUED,
           field(node, "endedAtMillis").asLong(),
-          Optional.of(handback(node.get("handback"))));
+          Optional.of(carriedState(node.get("handback"))));
     }
     String name = field(node, "state").asText();
     for (JobState state : JobState.values()) {
--- a/fleet/src/main/java/org/lovagerack/fleet/job/Submission.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/Submission.java
@@ -1,10 +1,11 @@
 package org.lovagerack.fleet.job;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.lovagerack.fleet.configuration.Queue;
 
 /**
- * A job as submitted by a client.
+ * A job as submitted by a client, or to the next owner or another shard with what it has run.
  *
  * @param jobId identifier that the client chose
  * @param queue queue that the client addressed
@@ -12,6 +13,7 @@
  * @param clientTimeout how long the client waits for the answer
  * @param entry entry VM process that the client is connected to
  * @param repeated whether a former owner may have received the job
+ * @param carried what the job has run elsewhere; empty if a client submitted it or it is not known
  */
 public record Submission(
     String jobId,
@@ -19,10 +21,27 @@
     JobSpec spec,
     Duration clientTimeout,
     EntryId entry,
-    boolean repeated) {
+    boolean repeated,
+    Optional<CarriedState> carried) {
+
+  /** Creates the submission of a client. */
+  public Submission(
+      String jobId,
+      Queue queue,
+      JobSpec spec,
+      Duration clientTimeout,
+      EntryId entry,
+      boolean repeated) {
+    this(jobId, queue, spec, clientTimeout, entry, repeated, Optional.empty());
+  }
 
   /** Returns a copy that is marked as possibly received by a former owner. */
   public Submission asRepeated() {
-    return new Submission(jobId, queue, spec, clientTimeout, entry, true);
+    return new Submission(jobId, queue, spec, clientTimeout, entry, true, carried);
+  }
+
+  /** Returns a copy for the next owner, with what a former owner has run. */
+  public Submission continuing(CarriedState state) {
+    return new Submission(jobId, queue, spec, clientTimeout, entry, true, Optional.of(state));
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.lovagerack.fleet.configuration.Queue;
+import org.lovagerack.fleet.job.CarriedState;
 import org.lovagerack.fleet.job.EntryId;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobProgress;
@@ -176,11 +178,12 @@
     return started;
   }
 
-  /** Returns whether no owner can have started a run of any task. */
+  /** Returns whether no owner, of any shard, can have started a run of any task. */
   boolean neverRan() {
     return !recovered
         && !repeated
         && !started
+        && !transferred()
         && tasks.stream().allMatch(task -> task.run() == null);
   }
 
@@ -190,6 +193,11 @@
         > Objective.maxStartDelay(objective, submitted.spec()).toNanos();
   }
 
+  /** Returns whether the result of the job can no longer be of use to its caller. */
+  boolean uselessAt(long nowNanos) {
+    return nowNanos - acceptedNanos > Objective.usefulTime(objective).toNanos();
+  }
+
   void markStarted() {
     started = true;
   }
@@ -299,6 +307,29 @@
     return new JobProgress(done, failed, lost, nowMillis);
   }
 
+  /**
+   * Returns what the job takes along to another shard.
+   *
+   * @param nowMillis current time, Unix milliseconds
+   */
+  CarriedState carriedState(long nowMillis) {
+    return new CarriedState(progress(nowMillis), nextRun);
+  }
+
+  /** Takes over what the job has run in another shard. */
+  void takeOver(CarriedState carried, long nowNanos) {
+    restoreTransferred(carried.progress(), nowNanos);
+    skipRunNumber(carried.nextRun() - 1);
+    started |= carried.started();
+  }
+
+  /** Returns the steps with tasks that are not done. */
+  Stream<StepSpec> remainingSteps() {
+    return IntStream.range(0, remainingInStep.length)
+        .filter(step -> remainingInStep[step] > 0)
+        .mapToObj(submitted.spec().steps()::get);
+  }
+
   /** Restores the lost runs of the tasks. */
   void restoreLosses(JobProgress progress, long nowNanos) {
     progressStored = true;
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lovagerack.fleet.job.EndedJob;
-import org.lovagerack.fleet.job.Handback;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
 import org.lovagerack.fleet.job.JobState;
@@ -119,14 +118,14 @@
 
   /** Hands a hosted job back to the shard that accepted it, which continues it. */
   void handBack(Job job) {
-    job.phase(Job.Phase.ENDING);
     registry.queue().remove(job);
     long now = wallMillis.getAsLong();
-    EndedJob record =
-        new EndedJob(
-            JobState.QUEUED,
-            now,
-            Optional.of(new Handback(job.progress(now), job.upcomingRunNumber())));
+    if (job.bestEffort()) {
+      close(job, new JobAnswer.HandedBack(job.carriedState(now)));
+      return;
+    }
+    job.phase(Job.Phase.ENDING);
+    EndedJob record = new EndedJob(JobState.QUEUED, now, Optional.of(job.carriedState(now)));
     storeEnd(job, record, () -> close(job, record.answerToHome()));
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobCodec;
+import org.lovagerack.fleet.job.JobSite;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.job.SubmittedJob;
@@ -26,6 +27,16 @@
    */
   static final Duration UNREPORTED_RUN_TIMEOUT = EntryLiveness.CONTACT_TIMEOUT.plusMillis(400);
 
+  /** Answer to a job of which no listed worker can run a step. */
+  static final JobAnswer.Refused NO_SUITABLE_WORKER =
+      new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, ShardController.RETRY_AFTER_OUTAGE);
+
+  /**
+   * Number of the transfer that brought a best-effort job. The end of such a job is not stored, so
+   * its transfers need not be told apart.
+   */
+  private static final int ONLY_TRANSFER = 1;
+
   private static final EventLog LOG = new EventLog(JobIntake.class);
 
   private final OwnedShardFactory dependencies;
@@ -101,14 +112,7 @@
       callback.accept(bestEffort ? new JobAnswer.State(end.get()) : new JobAnswer.Accepted());
       return;
     }
-    Job job =
-        new Job(
-            new SubmittedJob(
-                submission.jobId(), submission.queue(), log.token(), submission.spec()),
-            arrivedNanos,
-            log.token(),
-            false,
-            submission.repeated());
+    Job job = newJob(submission, arrivedNanos);
     Optional<JobAnswer.Refused> refusal = refusal(job);
     if (refusal.isPresent()) {
       job.waiters().add(waiter);
@@ -118,9 +122,6 @@
     job.waiters().add(waiter);
     registry.add(job);
     if (bestEffort) {
-      lossRecords
-          .find(job.id())
-          .ifPresent(record -> job.restoreLosses(record, dependencies.timer().nanoTime()));
       losses.watch(job);
       runs.claimInheritedRuns(job);
       accept(job);
@@ -133,6 +134,34 @@
     }
   }
 
+  /** Returns a submitted job with what is known of its earlier runs. */
+  private Job newJob(Submission submission, long arrivedNanos) {
+    boolean home = dependencies.neighbours().isHome(submission.jobId());
+    JobSite site =
+        submission
+            .carried()
+            .<JobSite>map(
+                carried ->
+                    home
+                        ? new JobSite.Home(0, carried.nextRun())
+                        : new JobSite.Hosted(ONLY_TRANSFER, carried.nextRun()))
+            .orElse(JobSite.ORIGIN);
+    Job job =
+        new Job(
+            new SubmittedJob(
+                submission.jobId(), submission.queue(), log.token(), submission.spec(), site),
+            arrivedNanos,
+            log.token(),
+            false,
+            submission.repeated());
+    if (job.bestEffort()) {
+      long now = dependencies.timer().nanoTime();
+      lossRecords.find(job.id()).ifPresent(record -> job.restoreLosses(record, now));
+      submission.carried().ifPresent(carried -> job.takeOver(carried, now));
+    }
+    return job;
+  }
+
   /** Refuses a best-effort job that has no run and can no longer be placed in time. */
   void refuseUnstarted(Job job) {
     finalizer.refuse(
@@ -186,9 +215,12 @@
     }
     boolean startsHere = transfers.canStartHere(job);
     boolean home = dependencies.neighbours().isHome(job.id());
+    if (job.started()) {
+      // The work spent on it is lost unless its last tasks run too; its home finds out where.
+      return startsHere || home ? Optional.empty() : Optional.of(NO_SUITABLE_WORKER);
+    }
     if (!transfers.isPossible(job) || (!startsHere && !home)) {
-      return Optional.of(
-          new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, ShardController.RETRY_AFTER_OUTAGE));
+      return Optional.of(NO_SUITABLE_WORKER);
     }
     if (!startsHere) {
       // The shard that can start it decides.
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
-import org.lovagerack.fleet.job.Handback;
+import org.lovagerack.fleet.job.CarriedState;
 import org.lovagerack.fleet.job.HostRequest;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobHost;
@@ -21,6 +21,7 @@
 import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.worker.WorkerDirectory;
 import org.lovagerack.fleet.worker.WorkerEntry;
+import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
 
@@ -28,7 +29,9 @@
  * Transfers jobs that no worker of the shard can run to a shard whose workers can, and takes them
  * back. Answers the load of tasks that need a label or a size that few workers have. A job is
  * transferred only while none of its tasks can be running, and at most one shard starts its tasks
- * at any time: a durable job changes its site by a transaction of the shard that gives it away.
+ * at any time: a durable job changes its site by a transaction of the shard that gives it away. A
+ * best-effort job takes along what it has run, so that no shard runs it again or refuses it as not
+ * run; one that no shard can continue ends at once.
  */
 final class JobTransfer {
 
@@ -40,6 +43,9 @@
   /** Upper limit only; a best-effort job is abandoned when its client has left. */
   private static final Duration BEST_EFFORT_TIMEOUT = Duration.ofSeconds(60);
 
+  private static final JobAnswer UNKNOWN_OUTCOME =
+      new JobAnswer.Unresolved(ErrorKind.OUTCOME_UNKNOWN);
+
   private static final EventLog LOG = new EventLog(JobTransfer.class);
 
   private final OwnedShardFactory dependencies;
@@ -89,21 +95,20 @@
     this.workersReported = workersReported;
   }
 
-  /** Returns whether each step of a job has a listed worker, in any shard, that can run it. */
+  /** Returns whether each step of a new job has a listed worker, in any shard, that can run it. */
   boolean isPossible(Job job) {
     String service = placer.service(job);
-    return job.submitted().spec().steps().stream()
+    return job.remainingSteps()
         .allMatch(
             step ->
                 directory.entries().stream()
                     .anyMatch(worker -> Suitability.canRun(service, step, worker)));
   }
 
-  /** Returns whether a listed worker of the shard can run one of a new job's first steps. */
+  /** Returns whether a listed worker of the shard can run one of the tasks whose turn it is. */
   boolean canStartHere(Job job) {
     String service = placer.service(job);
-    return job.submitted().spec().steps().stream()
-        .anyMatch(step -> step.after().isEmpty() && sessions.canRun(service, step));
+    return job.readyTasks().anyMatch(task -> sessions.canRun(service, task.step()));
   }
 
   /** Transfers or hands back the queued jobs that no worker of the shard can run. */
@@ -113,23 +118,23 @@
 
   /** Does the same for one job. */
   void check(Job job) {
-    if (!workersReported.getAsBoolean() || !isIdle(job)) {
+    if (!workersReported.getAsBoolean() || !isIdle(job) || canStartHere(job)) {
       return;
     }
-    String service = placer.service(job);
-    if (job.readyTasks().anyMatch(task -> sessions.canRun(service, task.step()))) {
-      return;
-    }
-    OptionalInt shard = shardForReadyTasks(job, service);
+    OptionalInt shard = shardForReadyTasks(job);
     if (job.hosted()) {
-      if (shard.isPresent()) {
-        logTransfer(LogEvent.JOB_HANDED_BACK, job, shard.getAsInt());
+      // A durable job waits here as well as there; a best-effort job is ended by its home.
+      if (shard.isPresent() || job.bestEffort()) {
+        logTransfer(LogEvent.JOB_HANDED_BACK, job, shard);
         finalizer.handBack(job);
       }
     } else if (!job.bestEffort()) {
       shard.ifPresent(host -> transfer(job, host));
-    } else if (shard.isPresent() && dependencies.neighbours().isHome(job.id())) {
+    } else if (shard.isPresent()) {
       submitElsewhere(job, shard.getAsInt());
+    } else if (job.readyTasks()
+        .allMatch(task -> sessions.noneCanRun(placer.service(job), task.step()))) {
+      end(job, JobIntake.NO_SUITABLE_WORKER, "no listed worker can run it");
     }
   }
 
@@ -174,7 +179,8 @@
    * Returns a shard with a listed worker for one of the job's ready tasks; jobs are spread over
    * these workers.
    */
-  private OptionalInt shardForReadyTasks(Job job, String service) {
+  private OptionalInt shardForReadyTasks(Job job) {
+    String service = placer.service(job);
     List<StepSpec> steps = job.readyTasks().map(Task::step).distinct().toList();
     List<Integer> shards = new ArrayList<>();
     for (WorkerEntry worker : directory.entries()) {
@@ -189,14 +195,17 @@
         : OptionalInt.of(shards.get(Math.floorMod(job.id().hashCode(), shards.size())));
   }
 
+  /** Submits a best-effort job, with what it has run so far, to a shard that can continue it. */
   private void submitElsewhere(Job job, int shard) {
     Optional<JobHost> host = dependencies.neighbours().host(shard);
     if (host.isEmpty()) {
+      waitForHost(job, "the shard whose workers can run it has no owner");
       return;
     }
     registry.queue().remove(job);
-    job.site(new JobSite.Transferred(shard, job.site().transfers() + 1, 1));
-    logTransfer(LogEvent.JOB_TRANSFERRED, job, shard);
+    CarriedState carried = job.carriedState(dependencies.wallMillis().getAsLong());
+    job.site(new JobSite.Transferred(shard, job.site().transfers() + 1, carried.nextRun()));
+    logTransfer(LogEvent.JOB_TRANSFERRED, job, OptionalInt.of(shard));
     Submission submission =
         new Submission(
             job.id(),
@@ -204,24 +213,76 @@
             job.submitted().spec(),
             BEST_EFFORT_TIMEOUT,
             dependencies.entryLiveness().self(),
-            job.repeated());
+            job.repeated(),
+            Optional.of(carried));
     bestEffort.put(job.id(), submission);
     host.get()
         .submit(
             submission,
             answer -> {
-              if (job.phase() == Job.Phase.ACTIVE && bestEffort.remove(job.id()) != null) {
-                endAsAnswered(job, answer);
+              if (!log.closed()
+                  && job.phase() == Job.Phase.ACTIVE
+                  && bestEffort.remove(job.id(), submission)) {
+                answeredByHost(job, carried, answer);
               }
             });
   }
 
-  private void endAsAnswered(Job job, JobAnswer answer) {
-    if (answer instanceof JobAnswer.State state && state.state().ended()) {
-      finalizer.end(job, state.state());
-    } else if (answer instanceof JobAnswer.Refused refused && !job.repeated()) {
-      finalizer.refuse(job, refused, "the shard whose workers can run it refused it");
+  private void answeredByHost(Job job, CarriedState sent, JobAnswer answer) {
+    switch (answer) {
+      case JobAnswer.State state when state.state().ended() -> finalizer.end(job, state.state());
+      case JobAnswer.HandedBack handedBack -> {
+        continueHere(job, handedBack.handback());
+        if (handedBack.handback().nextRun() > sent.nextRun()) {
+          check(job);
+        } else {
+          waitForHost(job, "the shard whose workers could run it handed it back");
+        }
+      }
+      case JobAnswer.Refused refused -> {
+        continueHere(job, sent);
+        if (job.neverRan()) {
+          end(job, refused, "the shard whose workers can run it refused it");
+        } else {
+          waitForHost(job, "the shard whose workers can run it refused it");
+        }
+      }
+      default -> end(job, UNKNOWN_OUTCOME, "the shard that ran it answered " + answer);
+    }
+  }
+
+  /** Takes back a best-effort job that its host does not run any further. */
+  private void continueHere(Job job, CarriedState carried) {
+    job.site(new JobSite.Home(job.site().transfers(), carried.nextRun()));
+    job.takeOver(carried, dependencies.timer().nanoTime());
+    if (!carried.progress().lostRuns().isEmpty()) {
+      losses.watch(job);
+      finalizer.storeLosses(job);
+    }
+    registry.queue().add(job);
+    placer.request();
+  }
+
+  /** Leaves a job to the next check, unless the result would be of no use to its caller by then. */
+  private void waitForHost(Job job, String reason) {
+    if (!job.neverRan() && job.uselessAt(dependencies.timer().nanoTime())) {
+      end(job, UNKNOWN_OUTCOME, reason);
+    }
+  }
+
+  /** Ends a best-effort job: refuses it as not run only if nothing of it can have run. */
+  private void end(Job job, JobAnswer answer, String reason) {
+    if (answer instanceof JobAnswer.Refused refused && job.neverRan()) {
+      finalizer.refuse(job, refused, reason);
     } else {
+      LOG.write(
+          LogEvent.JOB_OUTCOME_UNKNOWN,
+          "job",
+          job.id(),
+          "age",
+          Duration.ofNanos(dependencies.timer().nanoTime() - job.acceptedNanos()),
+          "reason",
+          reason);
       finalizer.abandon(job);
     }
   }
@@ -229,7 +290,7 @@
   private void transfer(Job job, int shard) {
     registry.queue().remove(job);
     job.site(new JobSite.Transferred(shard, job.site().transfers() + 1, job.upcomingRunNumber()));
-    logTransfer(LogEvent.JOB_TRANSFERRED, job, shard);
+    logTransfer(LogEvent.JOB_TRANSFERRED, job, OptionalInt.of(shard));
     finalizer.storeSite(job, () -> request(job));
   }
 
@@ -277,7 +338,7 @@
     }
   }
 
-  private void takeBack(Job job, Handback handback) {
+  private void takeBack(Job job, CarriedState handback) {
     returning.add(job);
     Job returned =
         new Job(
@@ -309,7 +370,17 @@
     }
   }
 
-  private static void logTransfer(LogEvent event, Job job, int shard) {
-    LOG.write(event, "job", job.id(), "shard", shard, "transfers", job.site().transfers());
+  /** Logs a transfer to or towards a shard; empty if no shard is known that can run the job. */
+  private static void logTransfer(LogEvent event, Job job, OptionalInt shard) {
+    LOG.write(
+        event,
+        "job",
+        job.id(),
+        "shard",
+        shard.isPresent() ? shard.getAsInt() : "none",
+        "transfers",
+        job.site().transfers(),
+        "nextRun",
+        job.upcomingRunNumber());
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -115,7 +115,7 @@
       if (inheritedRuns.claimDone(task.id())) {
         job.markStarted();
         job.markTaskDone(task);
-      } else {
+      } else if (task.phase() == Task.Phase.WAITING) {
         inheritedRuns
             .claim(task.id())
             .ifPresent(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -228,13 +228,26 @@
     log.close();
     earlySubmissions.close();
     for (Job job : registry.all()) {
+      JobFinalizer.answer(job, answerAtEndOfTerm(job));
+    }
+  }
+
+  private JobAnswer answerAtEndOfTerm(Job job) {
+    if (!job.bestEffort()) {
+      return new JobAnswer.Unresolved(ErrorKind.OWNER_LOST);
+    }
+    if (job.neverRan()) {
       // The next owner need not wait for unreported runs of a job that never had one.
-      JobFinalizer.answer(
-          job,
-          job.bestEffort() && job.neverRan()
-              ? new JobAnswer.Refused(ErrorKind.OWNER_LOST, Duration.ZERO)
-              : new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+      return new JobAnswer.Refused(ErrorKind.OWNER_LOST, Duration.ZERO);
     }
+    // The next owner finds the active runs at the workers. The home of a hosted job does not.
+    return job.hosted() && job.tasks().stream().anyMatch(this::mayBeRunning)
+        ? new JobAnswer.Unresolved(ErrorKind.OWNER_LOST)
+        : new JobAnswer.HandedBack(job.carriedState(dependencies.wallMillis().getAsLong()));
+  }
+
+  private boolean mayBeRunning(Task task) {
+    return task.phase() == Task.Phase.ASSIGNED || sessions.mayBeRunning(task.id());
   }
 
   /** Returns the listed workers of the shard, or the others that may have active runs. */
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
@@ -189,6 +189,19 @@
             session -> session.listed() && Suitability.canRun(service, step, session.entry()));
   }
 
+  /**
+   * Returns whether no listed worker of the shard can run the tasks of a step, nor one that still
+   * reports although its entry has expired, as entries do while the platform's store is down.
+   */
+  boolean noneCanRun(String service, StepSpec step) {
+    return workersListed.getAsBoolean()
+        && sessions.values().stream()
+            .noneMatch(
+                session ->
+                    (session.listed() || (session.joined() && !session.suspect()))
+                        && Suitability.canRun(service, step, session.entry()));
+  }
+
   /** Returns the cores of the workers that serve a service, weighted by worker speed. */
   double capacity(String service, WorkerSpeeds speeds) {
     double cores = 0;
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/JobTransferTest.java
@@ -198,6 +198,144 @@
     assertThat(fleet.observer.starts()).hasSize(3 * JOBS);
   }
 
+  private String ownerOf(int shard) {
+    return processes.names().stream()
+        .filter(name -> processes.router(name).localHost(shard).isPresent())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static List<String> jobsOfShard(int shard, int count) {
+    return IntStream.iterate(0, job -> job + 1)
+        .mapToObj(job -> "home-" + shard + "-" + job)
+        .filter(id -> MAP.ofJob(id) == shard)
+        .limit(count)
+        .toList();
+  }
+
+  private void submitBestEffortOfBothShards(StepSpec... steps) {
+    for (int shard = 0; shard < SHARDS; shard++) {
+      jobsOfShard(shard, 2).forEach(id -> submit("one", id, true, steps));
+    }
+  }
+
+  /** Guards against a refusal as not run of a job whose first step has ended in another shard. */
+  @Test
+  void bestEffortStepsRunOnWorkersOfDifferentShards() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "left");
+    setLabels(workerOfShard(1), "right");
+    submitBestEffortOfBothShards(
+        step("left", List.of()), step("right", List.of(0)), step("left", List.of(1)));
+    run(2500);
+
+    assertThat(answers).hasSize(4);
+    assertThat(answers.values())
+        .allMatch(given -> given.equals(List.of(new JobAnswer.State(JobState.COMPLETED))));
+    assertThat(fleet.observer.starts()).hasSize(12);
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  /** Guards against a job that waits for its client's deadline though no worker can continue it. */
+  @Test
+  void bestEffortJobThatRanInPartEndsAtOnceWhenNoWorkerCanRunTheRest() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "left");
+    setLabels(workerOfShard(1), "right");
+    submitBestEffortOfBothShards(step("left", List.of()), step("right", List.of(0)));
+    run(150);
+    setLabels(workerOfShard(1), "other");
+    run(1000);
+
+    assertThat(answers).hasSize(4);
+    assertThat(answers.values())
+        .allMatch(
+            given -> given.equals(List.of(new JobAnswer.Unresolved(ErrorKind.OUTCOME_UNKNOWN))));
+  }
+
+  /** Guards against queued jobs that wait for a worker that has been taken away. */
+  @Test
+  void bestEffortJobThatNeverRanIsRefusedWhenItsWorkersHaveLeft() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "rare");
+    workerOfShard(0).setSpeed(0);
+    for (String id : jobsOfShard(0, 3)) {
+      submit("one", id, true, step("rare", List.of()));
+    }
+    run(50);
+    setLabels(workerOfShard(0), "other");
+    run(250);
+
+    assertThat(answers.values())
+        .filteredOn(given -> !given.isEmpty())
+        .containsExactly(
+            List.of(new JobAnswer.Refused(ErrorKind.NO_UPSTREAM, Duration.ofSeconds(1))));
+    assertThat(fleet.observer.starts()).hasSize(2);
+  }
+
+  /** Guards against a refusal by an overloaded host of a job that ran in part elsewhere. */
+  @Test
+  void overloadedHostRunsTheRestOfAStartedJob() {
+    start("one", "two");
+    setLabels(workerOfShard(0), "left");
+    setLabels(workerOfShard(1), "right");
+    for (String id : jobsOfShard(1, 120)) {
+      submit("one", id, true, step("right", List.of()));
+    }
+    assertThat(answers.values()).anyMatch(given -> !given.isEmpty());
+    answers.clear();
+    for (String id : jobsOfShard(0, 2)) {
+      submit("one", id, true, step("left", List.of()), step("right", List.of(0)));
+    }
+    run(1500);
+
+    assertThat(answers).hasSize(2);
+    assertThat(answers.values())
+        .allMatch(given -> given.equals(List.of(new JobAnswer.State(JobState.COMPLETED))));
+  }
+
+  /** Guards against a planned stop of the home that reports a job as not run that its host runs. */
+  @Test
+  void jobThatItsHostRunsIsNotRefusedAfterAPlannedStopOfItsHome() {
+    start("one", "two", "three");
+    FakeWorker worker = workerOfShard(0);
+    setLabels(worker, "rare");
+    worker.setSpeed(0);
+    String home = ownerOf(1);
+    String entry = processes.names().stream().filter(name -> !name.equals(home)).findFirst().get();
+    String id = jobsOfShard(1, 1).getFirst();
+    submit(entry, id, true, step("rare", List.of()));
+    run(100);
+    assertThat(worker.runningTasks()).isEqualTo(1);
+    setLabels(worker, "other");
+    processes.stop(home);
+    run(3000);
+
+    assertThat(answers.get(id)).hasSize(1).noneMatch(JobAnswer.Refused.class::isInstance);
+  }
+
+  /** Guards against attempts that are counted anew in each shard. */
+  @Test
+  void failedRunsOfABestEffortJobGoAlongToItsNextShard() {
+    start("one", "two");
+    FakeWorker first = workerOfShard(0);
+    FakeWorker second = workerOfShard(1);
+    first.setFailing(true);
+    second.setFailing(true);
+    setLabels(first, "rare");
+    String id = jobsOfShard(1, 1).getFirst();
+    submit("one", id, true, step("rare", List.of()));
+    while (fleet.observer.starts().isEmpty()) {
+      run(1);
+    }
+    setLabels(first, "other");
+    setLabels(second, "rare");
+    run(1000);
+
+    assertThat(answers.get(id)).containsExactly(new JobAnswer.State(JobState.FAILED));
+    assertThat(fleet.observer.starts()).hasSize(FakeFleet.QUEUE.attempts());
+  }
+
   @Test
   void transferredJobsSurviveTheEndOfEachOwner() {
     start("one", "two", "three");
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -7,12 +7,15 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.job.CarriedState;
 import org.lovagerack.fleet.job.EntryVm;
 import org.lovagerack.fleet.job.JobAnswer;
+import org.lovagerack.fleet.job.JobProgress;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.JobState;
 import org.lovagerack.fleet.job.Submission;
@@ -94,6 +97,23 @@
     assertThat(peers.submissions.get(1).repeated()).isTrue();
   }
 
+  /** Guards against a refusal as not run by the next owner of a job that a former owner ran. */
+  @Test
+  void jobIsSubmittedToTheNextOwnerWithWhatItHasRun() {
+    storeOwner(1000, "first");
+    CarriedState state =
+        new CarriedState(new JobProgress(List.of(0), Map.of(), Map.of(), 1_000), 3);
+    peers.scriptedAnswers.add(new JobAnswer.HandedBack(state));
+    peers.scriptedAnswers.add(OVERLOADED);
+    submit(1000);
+    run(500);
+
+    assertThat(answers).containsExactly(new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
+    assertThat(peers.submissions).hasSize(2);
+    assertThat(peers.submissions.get(1).repeated()).isTrue();
+    assertThat(peers.submissions.get(1).carried()).contains(state);
+  }
+
   @Test
   void undeliveredSubmissionIsRetriedAsNew() {
     storeOwner(1000, "first");
--- a/fleet/src/test/java/org/lovagerack/fleet/job/JobProgressCodecTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/job/JobProgressCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.foundation.data.Bytes;
 
 /** Tests the stored form of the progress of a job. */
@@ -28,6 +29,21 @@
     assertThat(JobCodec.decodeProgress(JobCodec.encode(progress))).isEqualTo(progress);
   }
 
+  /** Guards against a submission to another shard that loses what the job has run. */
+  @Test
+  void submissionIsReadWithWhatTheJobHasRun() throws MalformedRecordException {
+    Submission submission =
+        FakeFleet.job("job-1", 2, 100, true)
+            .continuing(
+                new CarriedState(
+                    new JobProgress(List.of(0), Map.of(1, List.of(2)), Map.of(), 1_000), 4));
+
+    assertThat(
+            JobCodec.decodeSubmission(
+                JobCodec.encode(submission), submission.clientTimeout(), submission.entry(), true))
+        .isEqualTo(submission);
+  }
+
   @Test
   void progressOfAVersionWithoutLostRunsIsRead() throws MalformedRecordException {
     assertThat(JobCodec.decodeProgress(bytes("{\"done\":[1],\"failedRuns\":{}}")))
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -18,7 +18,6 @@
 import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.Submission;
-import org.lovagerack.fleet.job.SubmittedJob;
 import org.lovagerack.foundation.error.ErrorKind;
 import org.lovagerack.foundation.event.EventLog;
 import org.lovagerack.foundation.event.LogEvent;
@@ -173,9 +172,7 @@
     }
 
     private static Buffer body(Submission submission) {
-      SubmittedJob job =
-          new SubmittedJob(submission.jobId(), submission.queue(), 0, submission.spec());
-      return Buffer.buffer(JobCodec.encode(job).toByteArray());
+      return Buffer.buffer(JobCodec.encode(submission).toByteArray());
     }
 
     @Override
--- a/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerProtocol.java
@@ -110,7 +110,7 @@
         case "pending" -> new JobAnswer.Pending(node.path("jobs").asLong());
         case "handed-back" ->
             new JobAnswer.HandedBack(
-                JobCodec.decodeHandback(Bytes.ofText(node.path("handback").asText())));
+                JobCodec.decodeCarriedState(Bytes.ofText(node.path("handback").asText())));
         case "unknown-job" -> new JobAnswer.UnknownJob();
         case "refused" ->
             new JobAnswer.Refused(
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -16,7 +16,6 @@
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
 import org.lovagerack.fleet.job.Submission;
-import org.lovagerack.fleet.job.SubmittedJob;
 import org.lovagerack.fleet.shard.EntryLiveness;
 import org.lovagerack.foundation.data.Bytes;
 import org.lovagerack.foundation.error.ErrorKind;
@@ -200,9 +199,8 @@
       Consumer<JobAnswer> answer,
       Consumer<Submission> action) {
     try {
-      SubmittedJob job = JobCodec.decodeJob(Bytes.copyOf(body.getBytes()));
       action.accept(
-          new Submission(job.id(), job.queue(), job.spec(), clientTimeout, entry, repeated));
+          JobCodec.decodeSubmission(Bytes.copyOf(body.getBytes()), clientTimeout, entry, repeated));
     } catch (MalformedRecordException e) {
       reject(e, entry, answer);
     } catch (RuntimeException e) {
