Read all changes of a feed that returns them in parts

Cause: after an answer with further rows to come, TableFollower went on from the version of the answer, and so passed over the changes that were not returned.

Change: it goes on from the last row, whose transaction is read again.

--- a/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/store/TableFollower.java
@@ -172,7 +172,7 @@
             case ReadOutcome.Rows rows -> {
               storeAnswered();
               rows.rows().forEach(this::apply);
-              newestVersion = Math.max(newestVersion, rows.version());
+              newestVersion = Math.max(newestVersion, readThrough(rows));
               runAfterPause(this::watch);
             }
             case ReadOutcome.HistoryUnavailable unavailable -> load();
@@ -181,6 +181,14 @@
         });
   }
 
+  /**
+   * Returns the version up to which all changes have been read. If further rows follow, they may
+   * belong to the transaction of the last one, which is then read again.
+   */
+  private static long readThrough(ReadOutcome.Rows rows) {
+    return rows.more() ? rows.rows().getLast().version() - 1 : rows.version();
+  }
+
   private void runAfterPause(Runnable action) {
     if (pause.isZero()) {
       action.run();
--- a/fleet/src/test/java/org/lovagerack/fleet/store/TableFollowerTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/store/TableFollowerTest.java
@@ -70,6 +70,24 @@
     assertThat(rows).containsExactly(Map.entry("b", "1"));
   }
 
+  /** Guards against changes that are passed over because a feed returns only the first of them. */
+  @Test
+  void readsAllChangesOfAFeedThatReturnsThemInParts() {
+    follower.start();
+    run(100);
+    store.setMaxFeedRows(2);
+    connection.setFault(FakeStore.Fault.REFUSED);
+    run(300);
+    for (String name : List.of("a", "b", "c", "d", "e")) {
+      store.put(key(name), "1");
+    }
+    connection.setFault(FakeStore.Fault.NONE);
+    run(2000);
+
+    assertThat(rows).containsOnlyKeys("a", "b", "c", "d", "e");
+    assertThat(loads).isEqualTo(1);
+  }
+
   /** Guards against followers that stop for good because a listener fails at one row. */
   @Test
   void rowAtWhichTheListenerFailsIsPassedOverUntilItIsMended() {
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeStore.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeStore.java
@@ -46,6 +46,7 @@
   private final TreeMap<RowKey, StoredRow> rows = new TreeMap<>(ORDER);
   private final List<StoredRow> history = new ArrayList<>();
   private Duration latency = LATENCY;
+  private int maxFeedRows = Integer.MAX_VALUE;
   private Duration commitLatency = LATENCY;
   private long version;
   private long forgottenBefore;
@@ -54,6 +55,11 @@
     this.timer = timer;
   }
 
+  /** Sets how many changes a feed returns at a time. */
+  public void setMaxFeedRows(int rows) {
+    maxFeedRows = rows;
+  }
+
   /** Sets the latency of reads and transactions. */
   public void setLatency(Duration newLatency) {
     setLatency(newLatency, newLatency);
@@ -202,7 +208,9 @@
                 history.stream()
                     .filter(row -> row.key().table().equals(table) && row.version() > after)
                     .toList();
-            callback.accept(new ReadOutcome.Rows(found, false, version));
+            boolean more = found.size() > maxFeedRows;
+            callback.accept(
+                new ReadOutcome.Rows(more ? found.subList(0, maxFeedRows) : found, more, version));
           });
     }
 
