Start tasks of former owners only when all results have been read

Cause: a worker lists 500 results at a time, and the next owner took the first report for the whole one. The recovery gate opened, and the tasks whose results stood in a later report started again.

Change: a worker has reported when a report lists fewer results than the maximum. The gate, and the start of repeated best-effort jobs, wait for that; the gate also when the leases of former owners would have expired, since the new owner has extended them. The results of a full report are stored at once, not after a second, so the next report follows. Rows that cannot be read count as listed. A known end of a transferred job's task is acknowledged, so that it hides no later results. Event 3112 marks full reports.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
@@ -228,6 +228,11 @@
     }
   }
 
+  /** Stores the results of all jobs now, so that they can be acknowledged. */
+  void storeResults() {
+    registry.all().forEach(this::storeProgress);
+  }
+
   private void storeProgress(Job job) {
     if (job.phase() != Job.Phase.ACTIVE || job.unacknowledgedResults().isEmpty()) {
       return;
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunListener.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunListener.java
@@ -19,6 +19,15 @@
   /** Called when the worker has reported to this owner for the first time. */
   void joined(WorkerSession session);
 
+  /** Called once when all that the worker held under former owners has been read. */
+  void reportedAll(WorkerSession session);
+
+  /**
+   * Called when a report may not list all results, because the worker lists the others only when
+   * those of the report have been acknowledged.
+   */
+  void resultsWithheld(WorkerSession session);
+
   /** Called when the worker reports an active run that this session did not start. */
   InheritedRunDecision inheritedRunReported(WorkerSession session, TaskRun run);
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -30,7 +30,7 @@
   private final Placer placer;
   private final JobCounters counters;
   private final LongSupplier token;
-  private final Runnable workerJoined;
+  private final Runnable workerReported;
   private final StallDetector stallDetector = new StallDetector();
 
   /**
@@ -39,7 +39,8 @@
    * @param mayHaveUnreportedRuns returns whether a former owner's runs of a job may be active but
    *     not reported yet
    * @param token returns the current fencing token
-   * @param workerJoined called when a worker has reported for the first time
+   * @param workerReported called when a worker has reported for the first time, and when all that
+   *     it held has been read
    */
   RunTracker(
       TimerService timer,
@@ -54,7 +55,7 @@
       Placer placer,
       JobCounters counters,
       LongSupplier token,
-      Runnable workerJoined) {
+      Runnable workerReported) {
     this.timer = timer;
     this.log = log;
     this.registry = registry;
@@ -67,7 +68,7 @@
     this.placer = placer;
     this.counters = counters;
     this.token = token;
-    this.workerJoined = workerJoined;
+    this.workerReported = workerReported;
   }
 
   @Override
@@ -80,7 +81,17 @@
         token.getAsLong(),
         "entry",
         session.entry());
-    workerJoined.run();
+    workerReported.run();
+  }
+
+  @Override
+  public void reportedAll(WorkerSession session) {
+    workerReported.run();
+  }
+
+  @Override
+  public void resultsWithheld(WorkerSession session) {
+    finalizer.storeResults();
   }
 
   @Override
@@ -197,8 +208,13 @@
     Job job = task.job();
     job.skipRunNumber(result.run().run());
     if (job.transferred() && !job.bestEffort()) {
-      // The host runs the task. The result is acknowledged when the job has ended.
-      job.unacknowledgedResults().add(unacknowledged);
+      // The host runs the task. Unless its end is known and thus stored, the result is acknowledged
+      // when the job has ended.
+      if (task.phase() == Task.Phase.DONE) {
+        unacknowledged.acknowledge();
+      } else {
+        job.unacknowledgedResults().add(unacknowledged);
+      }
       return;
     }
     finalizer.addResult(job, unacknowledged);
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -22,9 +22,9 @@
 /**
  * Serves the jobs of a shard for one term: accepts jobs, places their tasks on workers and ends
  * them. It first recovers the jobs that former owners stored. Tasks of recovered jobs start only
- * when every worker that a former owner may have used has reported under the new token, whether or
- * not it is still listed, or every lease extended by a former owner has expired. Before that, a
- * task may still be running under a former owner.
+ * when every worker that a former owner may have used has reported all its runs and results under
+ * the new token, whether or not it is still listed, or every lease extended by a former owner has
+ * expired. Before that, a task may still be running under a former owner.
  *
  * <p>Durable jobs start and end only under a valid lease. Best-effort jobs continue while the store
  * is unavailable, as long as the entry VM with the client's connection is reachable.
@@ -134,7 +134,7 @@
             placer,
             dependencies.counters(),
             log::token,
-            this::openGateIfAllJoined);
+            this::openGateIfAllReported);
     this.sessions =
         new WorkerSessions(
             dependencies.timer(),
@@ -286,15 +286,15 @@
     dependencies.timer().after(WORKER_REPORT_TIMEOUT, () -> workersReported = true);
     stored.jobs().stream().filter(Job::transferred).forEach(transfers::resume);
     earlySubmissions.handOver(intake::submit);
-    openGateIfAllJoined();
+    openGateIfAllReported();
   }
 
-  private void openGateIfAllJoined() {
+  private void openGateIfAllReported() {
     if (!recovered || !sessions.allJoined()) {
       return;
     }
     workersReported = true;
-    if (sessions.knowAllWorkers()) {
+    if (sessions.knowAllWorkers() && sessions.allReported()) {
       openGate("all workers have reported");
     }
   }
@@ -303,8 +303,9 @@
     if (gate.isOpen() || closed) {
       return;
     }
-    if (!recovered) {
-      // Recovery may take longer than the leases; the gate stays closed until it is complete.
+    if (!recovered || sessions.anyUnreadResults()) {
+      // Both may take longer than the leases: the recovery, and the results of a worker that lists
+      // them in several reports. This owner has extended its lease, so they all count.
       dependencies.timer().after(GATE_RETRY_DELAY, () -> openGate(reason));
       return;
     }
@@ -391,7 +392,7 @@
         }
       }
     }
-    openGateIfAllJoined();
+    openGateIfAllReported();
     losses.check();
     transfers.check();
     dependencies.entryLiveness().removeUnreachable();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -31,9 +31,6 @@
  */
 final class WorkerSession {
 
-  /** Maximum number of results in one report. */
-  private static final int MAX_RESULTS_PER_REPORT = 500;
-
   /**
    * Time for which a worker may delay a report that does not extend its lease. The lease must be
    * extended soon after its runs have been claimed.
@@ -71,6 +68,8 @@
   private long unlistedNanos;
   private boolean closed;
   private boolean joined;
+  private boolean reportedAll;
+  private boolean resultsWithheld;
   private boolean suspect;
   private boolean processEnded;
   private boolean reporting;
@@ -121,6 +120,26 @@
     return joined;
   }
 
+  /**
+   * Returns whether everything that the worker held when this owner began to use it has been read:
+   * its runs and all its results, which it may list in several reports.
+   */
+  boolean reportedAll() {
+    return reportedAll;
+  }
+
+  /**
+   * Returns whether the worker may hold results of former owners that have not been read and still
+   * count. Results that a worker held when its lease expired are void.
+   */
+  boolean mayHoldUnreadResults() {
+    return joined && !reportedAll && !(suspect && leaseExpired());
+  }
+
+  private boolean leaseExpired() {
+    return timer.nanoTime() - lastExtensionNanos > bounds.workerLeaseExpiryBound().toNanos();
+  }
+
   /** Returns whether the worker did not answer the last report request. */
   boolean suspect() {
     return suspect;
@@ -460,7 +479,7 @@
         && rejected.reason() == RequestOutcome.Reason.OTHER_INCARNATION) {
       processEnded = true;
       loseAllRuns(RunLoss.PROCESS_ENDED, "another process answers at the worker's address");
-    } else if (timer.nanoTime() - lastExtensionNanos > bounds.workerLeaseExpiryBound().toNanos()) {
+    } else if (leaseExpired()) {
       loseAllRuns(RunLoss.UNRESPONSIVE, "the worker's lease has expired");
     }
     timer.after(listed ? RETRY_DELAY : UNLISTED_RETRY_DELAY, this::report);
@@ -505,6 +524,16 @@
     if (first) {
       listener.joined(this);
     }
+    if (!report.listsAllResults()) {
+      if (!resultsWithheld) {
+        LOG.write(LogEvent.RESULTS_WITHHELD, "worker", id(), "reportedAll", reportedAll);
+      }
+      listener.resultsWithheld(this);
+    } else if (!reportedAll) {
+      reportedAll = true;
+      listener.reportedAll(this);
+    }
+    resultsWithheld = !report.listsAllResults();
     listener.resourcesFreed(this);
     scheduleNextReport();
   }
@@ -570,11 +599,11 @@
         known.markListed(sentNanos);
       }
     }
-    boolean complete =
-        report.results().size() + report.unreadableResults().size() < MAX_RESULTS_PER_REPORT;
     runs.forEach(
         (run, active) -> {
-          if (complete && !runningRuns.contains(run) && active.mustBeListed(sentNanos)) {
+          if (report.listsAllResults()
+              && !runningRuns.contains(run)
+              && active.mustBeListed(sentNanos)) {
             runs.remove(run);
             listener.lost(
                 this,
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSessions.java
@@ -172,10 +172,25 @@
         && sessions.values().stream().allMatch(WorkerSession::joined);
   }
 
-  /** Returns whether every worker that a former owner may have used has reported its runs. */
+  /** Returns whether there are workers and all that they held has been read. */
+  boolean allReported() {
+    return opened
+        && !sessions.isEmpty()
+        && sessions.values().stream().allMatch(WorkerSession::reportedAll);
+  }
+
+  /** Returns whether a worker may hold results of former owners that have not been read. */
+  boolean anyUnreadResults() {
+    return sessions.values().stream().anyMatch(WorkerSession::mayHoldUnreadResults);
+  }
+
+  /**
+   * Returns whether every worker that a former owner may have used has reported all its runs and
+   * results.
+   */
   boolean allRunsReported() {
     return knowAllWorkers()
-        && allJoined()
+        && allReported()
         && sessions.values().stream().noneMatch(WorkerSession::suspect);
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerReport.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/worker/WorkerReport.java
@@ -12,13 +12,19 @@
  * @param running runs in progress
  * @param results results that have not been acknowledged, ordered by number
  * @param unreadableResults numbers of results that name no task, in ascending order
+ * @param listedResults number of results that the worker listed, readable or not; at {@link
+ *     #MAX_RESULTS} it may hold more, which it lists when these have been acknowledged
  */
 public record WorkerReport(
     long clockMillis,
     long incarnation,
     List<RunningTask> running,
     List<TaskRunResult> results,
-    List<Long> unreadableResults) {
+    List<Long> unreadableResults,
+    int listedResults) {
+
+  /** Maximum number of results that a worker lists at a time. */
+  public static final int MAX_RESULTS = 500;
 
   public WorkerReport {
     running = List.copyOf(running);
@@ -26,6 +32,11 @@
     unreadableResults = List.copyOf(unreadableResults);
   }
 
+  /** Returns whether the worker holds no results beside those of this report. */
+  public boolean listsAllResults() {
+    return listedResults < MAX_RESULTS;
+  }
+
   /**
    * A run in progress.
    *
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/IdleRunListener.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/IdleRunListener.java
@@ -10,6 +10,12 @@
   @Override
   public void joined(WorkerSession session) {}
 
+  @Override
+  public void reportedAll(WorkerSession session) {}
+
+  @Override
+  public void resultsWithheld(WorkerSession session) {}
+
   @Override
   public RunListener.InheritedRunDecision inheritedRunReported(WorkerSession session, TaskRun run) {
     throw new IllegalStateException("the worker lists no run");
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
@@ -147,7 +147,8 @@
                   hasEnd
                       ? List.of(new TaskRunResult(1, RUN, TaskRunResult.Kind.STOPPED))
                       : List.of(),
-                  List.of())));
+                  List.of(),
+                  hasEnd ? 1 : 0)));
     }
   }
 
@@ -184,7 +185,7 @@
         Duration timeout,
         Consumer<ReportOutcome> callback) {
       WorkerReport report =
-          new WorkerReport(1, worker.incarnation(), List.of(), List.of(), List.of());
+          new WorkerReport(1, worker.incarnation(), List.of(), List.of(), List.of(), 0);
       fleet.timer.after(
           Duration.ofMillis(20), () -> callback.accept(new ReportOutcome.Reported(report)));
     }
--- a/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/FakeWorker.java
@@ -38,8 +38,10 @@
   /** Tasks of 6.8 cores fit into as many of these units. */
   private static final long CPU_MILLICORES_PER_TASK = 8_000;
 
+  private static final long MEGABYTES_PER_TASK = 64;
+
   /** Start of a specification that names the work of each task, in milliseconds at speed 1. */
-  static final String WORK_PREFIX = "work-ms:";
+  public static final String WORK_PREFIX = "work-ms:";
 
   private final TimerService timer;
   private final RunObserver observer;
@@ -118,7 +120,8 @@
         name + ":1",
         name.substring(0, 1),
         draining,
-        new Resources(room * CPU_MILLICORES_PER_TASK, 64_000, 0),
+        new Resources(
+            room * CPU_MILLICORES_PER_TASK, Math.max(64_000, room * MEGABYTES_PER_TASK), 0),
         labels,
         incarnation);
   }
@@ -332,7 +335,9 @@
         (task, active) ->
             list.add(
                 new WorkerReport.RunningTask(new TaskRun(task, active.run()), active.percent())));
-    return new WorkerReport(clockMillis(), incarnation, list, results, List.of());
+    List<TaskRunResult> listed =
+        results.subList(0, Math.min(results.size(), WorkerReport.MAX_RESULTS));
+    return new WorkerReport(clockMillis(), incarnation, list, listed, List.of(), listed.size());
   }
 
   boolean hasResults() {
--- a/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/event/LogEvent.java
@@ -51,6 +51,7 @@
   WORKER_RELIABLE(3109, Severity.INFO, "worker completes its runs again"),
   REQUESTS_LOST(3110, Severity.WARN, "workers leave requests unanswered"),
   REQUESTS_ANSWERED(3111, Severity.INFO, "workers answer requests again"),
+  RESULTS_WITHHELD(3112, Severity.INFO, "worker lists more results when these are acknowledged"),
   NOTE_APPLIED(4001, Severity.INFO, "release note applied"),
   NOTE_PUBLISHED(4002, Severity.INFO, "release note published"),
   NOTE_REJECTED(4003, Severity.WARN, "release note rejected"),
