Extend a worker's lease only if all its runs may be extended

Cause: a start carries a deadline, which extends the lease of everything on the worker. Reports of an owner without a valid lease let runs of durable jobs lapse; starts did not.

Change: one check comes before both messages. Each run knows whether its job is durable, so the check does not depend on jobs that are known. Runs of jobs whose entry VM may have turned to another owner are revoked and not extended, also if their stop is carried out late.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ActiveRun.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ActiveRun.java
@@ -7,12 +7,14 @@
 final class ActiveRun {
 
   private final long createdNanos;
+  private final boolean durable;
   private final boolean alone;
   private Resources resources;
   private boolean confirmed;
   private long confirmedNanos;
   private boolean startUnanswered;
   private boolean unclaimed;
+  private boolean revoked;
   private boolean stopping;
   private boolean stopConfirmed;
   private long stopConfirmedNanos;
@@ -20,24 +22,31 @@
   private int percent;
   private long percentSinceMillis;
 
-  private ActiveRun(Resources resources, boolean alone, long createdNanos) {
+  private ActiveRun(Resources resources, boolean durable, boolean alone, long createdNanos) {
     this.resources = resources;
+    this.durable = durable;
     this.alone = alone;
     this.createdNanos = createdNanos;
   }
 
-  /** Returns a run whose start request is being sent. */
-  static ActiveRun starting(Resources resources, boolean alone, long nowNanos) {
-    return new ActiveRun(resources, alone, nowNanos);
+  /**
+   * Returns a run whose start request is being sent.
+   *
+   * @param durable whether its job is durable
+   */
+  static ActiveRun starting(Resources resources, boolean durable, boolean alone, long nowNanos) {
+    return new ActiveRun(resources, durable, alone, nowNanos);
   }
 
   /**
    * Returns a run that a worker reported but this owner did not start.
    *
+   * @param durable whether its job is known to be durable
    * @param unclaimed whether the job of the run is still unknown
    */
-  static ActiveRun inherited(Resources resources, boolean unclaimed, long nowNanos) {
-    ActiveRun run = new ActiveRun(resources, false, nowNanos);
+  static ActiveRun inherited(
+      Resources resources, boolean durable, boolean unclaimed, long nowNanos) {
+    ActiveRun run = new ActiveRun(resources, durable, false, nowNanos);
     run.markConfirmed(nowNanos);
     run.unclaimed = unclaimed;
     return run;
@@ -58,8 +67,22 @@
     return alone;
   }
 
-  boolean unclaimed() {
-    return unclaimed;
+  /** Returns whether the job of the run is durable, so that only a valid lease may extend it. */
+  boolean durable() {
+    return durable;
+  }
+
+  /** Marks that another owner may start the task, so that the run must not outlast its lease. */
+  void revoke() {
+    revoked = true;
+  }
+
+  /**
+   * Returns whether the lease of the run must not be extended, because another owner may treat it
+   * as ended when the lease expires.
+   */
+  boolean mustLapse() {
+    return unclaimed || revoked;
   }
 
   void markConfirmed(long nowNanos) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobFinalizer.java
@@ -166,6 +166,19 @@
     abandon(job);
   }
 
+  /**
+   * Ends a best-effort job whose entry VM may have submitted it to another owner. Its runs lapse
+   * unless they can be stopped before.
+   */
+  void revoke(Job job, String reason) {
+    for (Task task : job.tasks()) {
+      if (task.phase() == Task.Phase.ASSIGNED) {
+        task.worker().revoke(task.run());
+      }
+    }
+    discard(job, reason);
+  }
+
   /** Ends a best-effort job with an unknown outcome; records no final state. */
   void abandon(Job job) {
     counters.abandoned();
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Placer.java
@@ -166,7 +166,12 @@
     WorkerSession session = eligible.get(chosen);
     TaskRun run = new TaskRun(task.id(), task.job().nextRunNumber());
     task.assign(run, session);
-    session.start(run, task.job().submitted().spec().specification(), task.step().request(), alone);
+    session.start(
+        run,
+        task.job().submitted().spec().specification(),
+        task.step().request(),
+        !task.job().bestEffort(),
+        alone);
     return true;
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunListener.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunListener.java
@@ -13,8 +13,9 @@
    *
    * @param continues whether the run continues
    * @param resources resources of the run; {@link Resources#NONE} if its job is unknown
+   * @param durable whether its job is known to be durable
    */
-  record InheritedRunDecision(boolean continues, Resources resources) {}
+  record InheritedRunDecision(boolean continues, Resources resources, boolean durable) {}
 
   /** Called when the worker has reported to this owner for the first time. */
   void joined(WorkerSession session);
@@ -62,6 +63,6 @@
   /** Called when the worker may have more free resources than before. */
   void resourcesFreed(WorkerSession session);
 
-  /** Returns whether the owner may extend the lease of the worker's runs. */
-  boolean mayExtend(WorkerSession session);
+  /** Returns whether the owner may extend the lease of runs of durable jobs. */
+  boolean mayExtendDurableRuns();
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -117,7 +117,9 @@
       task.get().job().markStarted();
     }
     return new RunListener.InheritedRunDecision(
-        continues, task.map(known -> known.step().request()).orElse(Resources.NONE));
+        continues,
+        task.map(known -> known.step().request()).orElse(Resources.NONE),
+        task.filter(known -> !known.job().bestEffort()).isPresent());
   }
 
   /** Assigns the runs that a former owner started to the resubmitted job. */
@@ -330,11 +332,7 @@
   }
 
   @Override
-  public boolean mayExtend(WorkerSession session) {
-    return log.leaseValid() || session.runs().stream().allMatch(this::isBestEffort);
-  }
-
-  private boolean isBestEffort(TaskRun run) {
-    return registry.find(run.task().jobId()).map(Job::bestEffort).orElse(true);
+  public boolean mayExtendDurableRuns() {
+    return log.leaseValid();
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardController.java
@@ -383,7 +383,7 @@
                     waiter ->
                         waiter.entry().filter(dependencies.entryLiveness()::isReachable).isEmpty());
         if (changed && job.waiters().isEmpty()) {
-          finalizer.discard(job, "the entry VM of its client is unreachable");
+          finalizer.revoke(job, "the entry VM of its client is unreachable");
         } else if (!job.transferred()
             && job.neverRan()
             && overloadDetector.shouldRefuse(
@@ -423,8 +423,13 @@
     EntryId entry = submission.entry();
     boolean changed =
         job.get().waiters().removeIf(waiter -> waiter.entry().equals(Optional.of(entry)));
-    if (changed && job.get().waiters().isEmpty()) {
+    if (!changed || !job.get().waiters().isEmpty()) {
+      return;
+    }
+    if (log.leaseValid()) {
       finalizer.discard(job.get(), "its client has disconnected");
+    } else {
+      finalizer.revoke(job.get(), "its client has disconnected, or its entry VM has another owner");
     }
   }
 
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -173,8 +173,8 @@
   boolean acceptsTasks() {
     return serving()
         && hasKnownCapacity()
-        && !hasUnclaimedRuns()
         && !runs.any(ActiveRun::alone)
+        && mayExtendLease()
         && startBackoff.hasElapsed();
   }
 
@@ -217,10 +217,12 @@
   /**
    * Starts a run; the listener is notified of its outcome.
    *
+   * @param durable whether the job of the run is durable
    * @param alone whether the worker accepts no further tasks until the run has ended
    */
-  void start(TaskRun run, String specification, Resources resources, boolean alone) {
-    ActiveRun active = ActiveRun.starting(resources, alone, timer.nanoTime());
+  void start(
+      TaskRun run, String specification, Resources resources, boolean durable, boolean alone) {
+    ActiveRun active = ActiveRun.starting(resources, durable, alone, timer.nanoTime());
     runs.add(run, active);
     lastExtensionNanos = timer.nanoTime();
     StartRequest request =
@@ -250,12 +252,25 @@
   }
 
   /**
-   * Returns whether a run is active whose job is unknown, and thus the resources that it uses until
-   * it has ended. A former owner may treat the run as lost when the lease it granted expires. The
-   * lease must therefore not be extended, and a start request would extend it.
+   * Lets a run lapse if it cannot be stopped in time, because another owner may start its task. The
+   * worker's lease is not extended until the run has ended.
    */
-  private boolean hasUnclaimedRuns() {
-    return runs.any(ActiveRun::unclaimed);
+  void revoke(TaskRun run) {
+    ActiveRun active = runs.get(run);
+    if (active != null) {
+      active.revoke();
+    }
+  }
+
+  /**
+   * Returns whether a message to the worker may extend its lease. Report and start requests extend
+   * the lease of all its runs, so no run may be one that another owner may treat as lost when the
+   * lease expires: a run whose job is unknown here, a revoked one, or one of a durable job while
+   * this owner's own lease is not valid.
+   */
+  private boolean mayExtendLease() {
+    return !runs.any(ActiveRun::mustLapse)
+        && (!runs.any(ActiveRun::durable) || listener.mayExtendDurableRuns());
   }
 
   /** Returns whether the directory lists the process that reports, whose capacity may differ. */
@@ -384,8 +399,7 @@
     reportsSent++;
     reporting = true;
     reportRequested = false;
-    boolean extend =
-        joined && !suspect && !runs.isEmpty() && !hasUnclaimedRuns() && listener.mayExtend(this);
+    boolean extend = joined && !suspect && !runs.isEmpty() && mayExtendLease();
     OptionalLong deadline =
         extend
             ? OptionalLong.of(clock.minimumMillis() + bounds.maxWorkerLease().toMillis())
@@ -617,7 +631,9 @@
   private void addInheritedRun(TaskRun run) {
     RunListener.InheritedRunDecision decision = listener.inheritedRunReported(this, run);
     boolean unclaimed = decision.resources().equals(Resources.NONE);
-    runs.add(run, ActiveRun.inherited(decision.resources(), unclaimed, timer.nanoTime()));
+    runs.add(
+        run,
+        ActiveRun.inherited(decision.resources(), decision.durable(), unclaimed, timer.nanoTime()));
     if (!decision.continues()) {
       stop(run);
     }
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/IdleRunListener.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/IdleRunListener.java
@@ -45,7 +45,7 @@
   public void resourcesFreed(WorkerSession session) {}
 
   @Override
-  public boolean mayExtend(WorkerSession session) {
+  public boolean mayExtendDurableRuns() {
     return true;
   }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/WorkerSessionTest.java
@@ -39,7 +39,7 @@
     WorkerSession session = session(new UnansweredStarts());
     session.open();
     fleet.timer.advance(Duration.ofMillis(50));
-    session.start(RUN, "work", Resources.NONE, false);
+    session.start(RUN, "work", Resources.NONE, false, false);
     fleet.timer.advance(Duration.ofMillis(500));
 
     assertThat(stopTokens).containsExactly(1000L, 2000L);
@@ -54,7 +54,7 @@
     WorkerSession session = session(calls);
     session.open();
     fleet.timer.advance(Duration.ofMillis(50));
-    session.start(RUN, "work", Resources.NONE, false);
+    session.start(RUN, "work", Resources.NONE, false, false);
     fleet.timer.advance(Duration.ofMillis(50));
     int reportsBefore = calls.reports;
     session.stop(RUN);
