--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobTransfer.java
@@ -132,8 +132,7 @@
       shard.ifPresent(host -> transfer(job, host));
     } else if (shard.isPresent()) {
       submitElsewhere(job, shard.getAsInt());
-    } else if (job.readyTasks()
-        .allMatch(task -> sessions.noneCanRun(placer.service(job), task.step()))) {
+    } else if (canGoNowhere(job)) {
       end(job, JobIntake.NO_SUITABLE_WORKER, "no listed worker can run it");
     }
   }
@@ -175,6 +174,13 @@
     return true;
   }
 
+  /** Returns whether it is known that no worker of the shard can run one of the ready tasks. */
+  private boolean canGoNowhere(Job job) {
+    String service = placer.service(job);
+    List<StepSpec> steps = job.readyTasks().map(Task::step).distinct().toList();
+    return !steps.isEmpty() && steps.stream().allMatch(step -> sessions.noneCanRun(service, step));
+  }
+
   /**
    * Returns a shard with a listed worker for one of the job's ready tasks; jobs are spread over
    * these workers.
