Play labelled jobs of two steps in the soak

A quarter of the soak's jobs now has two steps, each for workers with a label that two of eight workers have, so that they change shards while owners, links, workers and the store fail. The checker reports a step that starts before the one that it follows has ended; that a refused job never starts was checked before.

startBeforeTheEarlierStepEndedIsReported needs the new check.

--- a/soak/src/main/java/org/lovagerack/soak/ClientLoad.java
+++ b/soak/src/main/java/org/lovagerack/soak/ClientLoad.java
@@ -15,6 +15,7 @@
 import org.lovagerack.foundation.timer.TimerService;
 import org.lovagerack.foundation.timer.TimerSubscription;
 import org.lovagerack.platform.standin.PlatformFixtures;
+import org.lovagerack.platform.standin.PlatformFixtures.Step;
 
 /** Clients that submit jobs at a fixed rate over persistent connections, poll and cancel them. */
 final class ClientLoad {
@@ -35,6 +36,9 @@
   private static final double DURABLE_SHARE = 0.4;
   private static final double CANCELLED_SHARE = 0.05;
 
+  /** Share of jobs with two steps, often for workers of different shards. */
+  private static final double LABELLED_SHARE = 0.25;
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final TimerService timer;
@@ -89,11 +93,21 @@
         new JobHistory(
             "%016x".formatted(random.nextLong()),
             random.nextDouble() < DURABLE_SHARE,
-            random.nextInt(1, MAX_TASKS + 1));
+            random.nextDouble() < LABELLED_SHARE
+                ? List.of(labelledStep(), labelledStep())
+                : List.of(new Step(randomTasks(), "")));
     checker.add(job);
     submit(job, 1);
   }
 
+  private int randomTasks() {
+    return random.nextInt(1, MAX_TASKS + 1);
+  }
+
+  private Step labelledStep() {
+    return new Step(randomTasks(), SoakWorker.label(random.nextInt(SoakWorker.LABELS)));
+  }
+
   private void submit(JobHistory job, int attempt) {
     int vm = pickVm();
     long sentNanos = timer.nanoTime();
@@ -102,7 +116,7 @@
         vm,
         job,
         PlatformFixtures.job(
-            job.tasks(),
+            job.steps(),
             SoakWorker.TASK_DURATION.toMillis(),
             !job.isDurable(),
             job.specification()),
--- a/soak/src/main/java/org/lovagerack/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/lovagerack/soak/GuaranteeChecker.java
@@ -136,6 +136,9 @@
     if (job.wasRefused()) {
       violationListener.accept(start.task() + " was started after every attempt was refused");
     }
+    if (!job.mayStart(stepOf(start.task()))) {
+      violationListener.accept(start.task() + " was started before the step that it follows ended");
+    }
     checkCancelled(start, job);
     checkDrained(worker, start);
     job.addStartedTask(start.task());
@@ -293,6 +296,12 @@
     return jobs.get(jobId(task));
   }
 
+  /** Returns the step in a task's name, which ends with the step and the index in it. */
+  private static int stepOf(String task) {
+    List<String> parts = List.of(task.split("\\.", -1));
+    return parts.size() < 2 ? 0 : Integer.parseInt(parts.get(parts.size() - 2));
+  }
+
   private static String jobId(String task) {
     int dot = task.indexOf('.');
     return dot < 0 ? task : task.substring(0, dot);
--- a/soak/src/main/java/org/lovagerack/soak/JobHistory.java
+++ b/soak/src/main/java/org/lovagerack/soak/JobHistory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.lovagerack.platform.standin.PlatformFixtures.Step;
 
 /** Events of one job as observed by clients and workers. */
 final class JobHistory {
@@ -21,7 +22,7 @@
 
   private final String id;
   private final boolean durable;
-  private final int tasks;
+  private final List<Step> steps;
   private final List<Attempt> attempts = new ArrayList<>();
   private final Set<String> startedTasks = new HashSet<>();
   private final Set<String> completedTasks = new HashSet<>();
@@ -35,11 +36,12 @@
    * Creates a history.
    *
    * @param durable whether an accepted job is stored, unlike a best-effort job
+   * @param steps steps, each of which follows the one before
    */
-  JobHistory(String id, boolean durable, int tasks) {
+  JobHistory(String id, boolean durable, List<Step> steps) {
     this.id = id;
     this.durable = durable;
-    this.tasks = tasks;
+    this.steps = List.copyOf(steps);
   }
 
   String id() {
@@ -50,8 +52,8 @@
     return durable;
   }
 
-  int tasks() {
-    return tasks;
+  List<Step> steps() {
+    return steps;
   }
 
   /** Returns the specification that workers receive for each task. */
@@ -93,7 +95,19 @@
   }
 
   boolean hasCompletedAllTasks() {
-    return completedTasks.size() == tasks;
+    return completedTasks.size() == steps.stream().mapToInt(Step::tasks).sum();
+  }
+
+  /** Returns whether all tasks of the steps before a step have been completed. */
+  boolean mayStart(int step) {
+    for (int earlier = 0; earlier < step; earlier++) {
+      String prefix = id + ".0." + earlier + ".";
+      long completed = completedTasks.stream().filter(task -> task.startsWith(prefix)).count();
+      if (completed < steps.get(earlier).tasks()) {
+        return false;
+      }
+    }
+    return true;
   }
 
   void addFailedRun() {
--- a/soak/src/main/java/org/lovagerack/soak/SoakWorker.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakWorker.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.List;
 import org.lovagerack.foundation.timer.TimerService;
 import org.lovagerack.platform.standin.PlatformFixtures;
 import org.lovagerack.platform.standin.StoreStandIn;
@@ -14,6 +15,9 @@
   /** Long enough for faults to occur during tasks, short enough for many tasks. */
   static final Duration TASK_DURATION = Duration.ofMillis(60);
 
+  /** Labels of the workers; few workers have the same one. */
+  static final int LABELS = 4;
+
   private final Vertx vertx;
   private final TimerService timer;
   private final StoreStandIn store;
@@ -37,6 +41,11 @@
     this.draining = new TemporaryOverride<>(timer, false, this::setDraining);
   }
 
+  /** Returns one of the {@link #LABELS} labels. */
+  static String label(int number) {
+    return "label-" + number;
+  }
+
   /** Starts the worker and its proxy, and registers the worker in the store. */
   Future<Void> open() {
     return worker
@@ -84,6 +93,10 @@
         "servers",
         "",
         "worker-" + index,
-        PlatformFixtures.worker(Loopback.address(proxyPort), state, worker.startTimeMillis()));
+        PlatformFixtures.worker(
+            Loopback.address(proxyPort),
+            state,
+            worker.startTimeMillis(),
+            List.of(label(index % LABELS))));
   }
 }
--- a/soak/src/test/java/org/lovagerack/soak/GuaranteeCheckerTest.java
+++ b/soak/src/test/java/org/lovagerack/soak/GuaranteeCheckerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.lovagerack.foundation.timer.DrivenTimer;
+import org.lovagerack.platform.standin.PlatformFixtures.Step;
 import org.lovagerack.platform.standin.WorkerStandIn;
 
 /** Checks that each violated guarantee is reported. */
@@ -34,6 +35,20 @@
     assertThat(violations).isEmpty();
   }
 
+  @Test
+  void startBeforeTheEarlierStepEndedIsReported() {
+    JobHistory job = new JobHistory("job", false, List.of(new Step(1, "a"), new Step(1, "b")));
+    checker.add(job);
+    firstWorker.started(start(job, 1));
+    secondWorker.started(new WorkerStandIn.Start("job.0.1.0", 1, 1000, job.specification()));
+    firstWorker.ended(TASK, 1, "done");
+    secondWorker.ended("job.0.1.0", 1, "stopped");
+    secondWorker.started(new WorkerStandIn.Start("job.0.1.0", 2, 1000, job.specification()));
+
+    assertThat(violations)
+        .containsExactly("job.0.1.0 was started before the step that it follows ended");
+  }
+
   @Test
   void concurrentRunsOfOneTaskAreReported() {
     JobHistory job = add(false);
@@ -190,7 +205,7 @@
   }
 
   private JobHistory add(boolean durable) {
-    JobHistory job = new JobHistory("job", durable, 1);
+    JobHistory job = new JobHistory("job", durable, List.of(new Step(1, "")));
     checker.add(job);
     return job;
   }
