--- a/review/11/Case11.java
+++ b/review/11/Case11.java
@@ -3,9 +3,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /** The owner's process is killed, and just after it some workers are cut off and run on. */
@@ -31,11 +34,11 @@
   /** Disruption {@code node_kill}: one process, started again after 3.5 s. */
   private static final long DOWN_MILLIS = 3500;
 
-  private static final int ROUNDS = 6;
-  private static final int TASKS = 4;
+  private static final int ROUNDS = 7;
+  private static final int TASKS = 5;
   private static final int TASK_CPU = 2000;
   private static final int TASK_MILLIS = 2000;
-  private static final long PERIOD_MILLIS = 40;
+  private static final long PERIOD_MILLIS = 125;
 
   /** Bound {@code retry_ms}. */
   private static final long RETRY_MILLIS = 1300;
@@ -71,13 +74,7 @@
         Thread.sleep(8000);
         continue;
       }
-      List<Worker> cut = new ArrayList<>();
-      while (cut.size() < CUT_WORKERS) {
-        Worker worker = stage.workers.get(random.nextInt(WORKERS));
-        if (!cut.contains(worker)) {
-          cut.add(worker);
-        }
-      }
+      List<Worker> cut = choose(stage, owner, random);
       stage.signal(owner, "KILL");
       synchronized (doors) {
         doors.remove(owner);
@@ -106,6 +103,27 @@
     return countBroken(stage) > 0;
   }
 
+  /**
+   * Chooses the workers to cut off: first those that run a stored job and a best-effort job whose
+   * client is connected to the owner, then any.
+   */
+  private static List<Worker> choose(Stage stage, Stage.Vm owner, Random random) {
+    List<Worker> order = new ArrayList<>(stage.workers);
+    Collections.shuffle(order, random);
+    order.sort(
+        Comparator.comparing(
+            worker -> {
+              Set<String> jobs = stage.runs.jobsOn(worker.id);
+              boolean both =
+                  jobs.stream().anyMatch(id -> !stage.jobs.get(id).bestEffort)
+                      && jobs.stream()
+                          .map(stage.jobs::get)
+                          .anyMatch(job -> job.bestEffort && job.door == owner);
+              return both ? 0 : 1;
+            }));
+    return order.subList(0, CUT_WORKERS);
+  }
+
   /** Waits for a worker that has a new owner; returns how long that took. */
   private static long awaitNextOwner(Stage stage, long sinceMillis) throws InterruptedException {
     while (stage.log.millis() - sinceMillis < TAKEOVER_MILLIS
--- a/review/11/standins/Runs.java
+++ b/review/11/standins/Runs.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** What the workers have seen of each task, for the checks at the end of a script. */
 final class Runs {
@@ -90,6 +92,17 @@
     return false;
   }
 
+  /** Returns the jobs that have an active run on a worker. */
+  synchronized Set<String> jobsOn(String worker) {
+    return tasks.entrySet().stream()
+        .filter(
+            entry ->
+                entry.getValue().stream()
+                    .anyMatch(run -> run.worker.equals(worker) && run.endedMillis < 0))
+        .map(entry -> entry.getKey().substring(0, entry.getKey().indexOf('.')))
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the number of runs that are active on a worker. */
   synchronized long runningOn(String worker) {
     return tasks.values().stream()
--- a/review/11/standins/Stage.java
+++ b/review/11/standins/Stage.java
@@ -71,6 +71,10 @@
     final String id;
     final int tasks;
     boolean accepted;
+    boolean bestEffort;
+
+    /** The entry VM that the client called first. */
+    Vm door;
 
     /** Status of the last answer to its submission; 0 if there was none. */
     int status;
@@ -300,6 +304,8 @@
 
   Job submit(Vm vm, ObjectNode body, int tasks, int timeoutMillis) {
     Job job = new Job(newJobId(), tasks);
+    job.bestEffort = body.path("best_effort").asBoolean();
+    job.door = vm;
     jobs.put(job.id, job);
     submitAgain(vm, job, body, timeoutMillis);
     return job;
