--- a/review/11/Case11.java
+++ b/review/11/Case11.java
@@ -17,10 +17,10 @@
   private static final int WORKERS = 32;
   private static final int RACK_SIZE = 6;
 
-  /** Disruption {@code node_cut}, servers: share 0.17 for 5.5 s. */
+  /** Disruption {@code node_cut}, servers: share 0.17 for 5.5 s at most. */
   private static final int CUT_WORKERS = 5;
 
-  private static final long CUT_MILLIS = 5500;
+  private static final long CUT_MILLIS = 5300;
 
   /** Time from the first orders of the next owner to the cut. */
   private static final long DELAY_MILLIS = 40;
@@ -31,8 +31,8 @@
   /** Overlaps below this are not counted: workers look at their leases every 5 ms. */
   private static final long MIN_OVERLAP_MILLIS = 20;
 
-  /** Disruption {@code node_kill}: one process, started again after 3.5 s. */
-  private static final long DOWN_MILLIS = 3500;
+  /** Disruption {@code node_kill}: one process, started again within 3.5 s. */
+  private static final long DOWN_MILLIS = 3300;
 
   private static final int ROUNDS = 7;
   private static final int TASKS = 5;
@@ -75,6 +75,7 @@
         continue;
       }
       List<Worker> cut = choose(stage, owner, random);
+      long killed = stage.log.millis();
       stage.signal(owner, "KILL");
       synchronized (doors) {
         doors.remove(owner);
@@ -82,10 +83,11 @@
       long takenOver = awaitNextOwner(stage, stage.log.millis());
       stage.log.line("script", "workers have a new owner after " + takenOver + " ms");
       Thread.sleep(DELAY_MILLIS);
+      long cutAt = stage.log.millis();
       cut.forEach(worker -> worker.setCut(true));
-      Thread.sleep(DOWN_MILLIS);
+      Thread.sleep(Math.max(0, killed + DOWN_MILLIS - stage.log.millis()));
       stage.startProcess(owner);
-      Thread.sleep(CUT_MILLIS - DOWN_MILLIS);
+      Thread.sleep(Math.max(0, cutAt + CUT_MILLIS - stage.log.millis()));
       cut.forEach(worker -> worker.setCut(false));
       stage.awaitReady(List.of(owner), 15_000);
       synchronized (doors) {
