Move what an owner knows of a worker's lease into a class of its own

WorkerSession is past what one duty needs, and the next change touches this part. The code that computes the deadline of an extension stood there twice; now once. Behaviour is the same; the tests of the module that touch sessions pass.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -55,13 +55,13 @@
 
   private final TimerService timer;
   private final WorkerCalls calls;
-  private final FleetBounds bounds;
   private final LongSupplier token;
   private final ResponseTimes responseTimes;
   private final Suitability suitability;
   private final RunListener listener;
   private final WorkerRuns runs;
   private final WorkerClock clock;
+  private final WorkerLease lease;
   private final UnacknowledgedResults results = new UnacknowledgedResults();
   private final StartBackoff startBackoff;
   private WorkerEntry entry;
@@ -78,7 +78,6 @@
   private long reportsSent;
   private int unansweredInARow;
   private long incarnation;
-  private long lastExtensionNanos;
   private long nextIdleReportNanos;
 
   WorkerSession(
@@ -93,7 +92,6 @@
       RunListener listener) {
     this.timer = timer;
     this.calls = calls;
-    this.bounds = bounds;
     this.token = token;
     this.responseTimes = responseTimes;
     this.suitability = suitability;
@@ -101,6 +99,7 @@
     this.listener = listener;
     this.runs = new WorkerRuns(activeTasks);
     this.clock = new WorkerClock(timer);
+    this.lease = new WorkerLease(timer, bounds);
     this.startBackoff = new StartBackoff(timer);
     this.nextIdleReportNanos = timer.nanoTime();
   }
@@ -136,11 +135,7 @@
    * count. Results that a worker held when its lease expired are void.
    */
   boolean mayHoldUnreadResults() {
-    return joined && !reportedAll && !(suspect && leaseExpired());
-  }
-
-  private boolean leaseExpired() {
-    return timer.nanoTime() - lastExtensionNanos > bounds.workerLeaseExpiryBound().toNanos();
+    return joined && !reportedAll && !(suspect && lease.expired());
   }
 
   /** Returns whether the worker did not answer the last report request. */
@@ -232,13 +227,8 @@
       TaskRun run, String specification, Resources resources, boolean durable, boolean alone) {
     ActiveRun active = ActiveRun.starting(resources, durable, alone, timer.nanoTime());
     runs.add(run, active);
-    lastExtensionNanos = timer.nanoTime();
     StartRequest request =
-        new StartRequest(
-            run,
-            specification,
-            clock.minimumMillis() + bounds.maxWorkerLease().toMillis(),
-            token.getAsLong());
+        new StartRequest(run, specification, lease.extend(clock), token.getAsLong());
     long incarnationAtStart = incarnation;
     long sentNanos = timer.nanoTime();
     calls.start(
@@ -408,13 +398,7 @@
     reporting = true;
     reportRequested = false;
     boolean extend = joined && !suspect && !runs.isEmpty() && mayExtendLease();
-    OptionalLong deadline =
-        extend
-            ? OptionalLong.of(clock.minimumMillis() + bounds.maxWorkerLease().toMillis())
-            : OptionalLong.empty();
-    if (extend) {
-      lastExtensionNanos = timer.nanoTime();
-    }
+    OptionalLong deadline = extend ? OptionalLong.of(lease.extend(clock)) : OptionalLong.empty();
     // Each incarnation restarts the numbering of results, so nothing is acknowledged to a worker
     // that may have restarted.
     long acknowledge = joined && !suspect ? results.acknowledgedThrough() : 0;
@@ -501,7 +485,7 @@
         && rejected.reason() == RequestOutcome.Reason.OTHER_INCARNATION) {
       processEnded = true;
       loseAllRuns(RunLoss.PROCESS_ENDED, "another process answers at the worker's address");
-    } else if (leaseExpired()) {
+    } else if (lease.expired()) {
       loseAllRuns(RunLoss.UNRESPONSIVE, "the worker's lease has expired");
     }
     timer.after(listed ? RETRY_DELAY : UNLISTED_RETRY_DELAY, this::report);
