Do not take the lease of a former owner for expired

Cause: WorkerSession took a lease for expired when this owner had not extended it for the longest time of a lease. The time of the last extension was 0 until this owner's first one, which a worker does not get while it has a run of a job that is still unknown. The first unanswered report then gave up all its runs, although the former owner had extended the lease up to its end.

Change: WorkerLease counts from the first report under this owner's token, since another owner may have extended the lease until then, and only then rejects the worker its requests. The same holds for the first report under a raised token (an island used the worker) and for that of a restarted worker, which knows no token. Before any report the lease is never expired.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/WorkerSession.java
@@ -421,7 +421,7 @@
               if (wait.isZero()) {
                 responseTimes.observe(Duration.ofNanos(timer.nanoTime() - sentNanos));
               }
-              handleReportOrRetry(reported.report(), sentNanos);
+              handleReportOrRetry(reported.report(), sentNanos, usedToken);
             }
             case ReportOutcome.Missing missing -> handleMissingReport(missing.outcome(), usedToken);
           }
@@ -491,16 +491,17 @@
     timer.after(listed ? RETRY_DELAY : UNLISTED_RETRY_DELAY, this::report);
   }
 
-  private void handleReportOrRetry(WorkerReport report, long sentNanos) {
+  private void handleReportOrRetry(WorkerReport report, long sentNanos, long usedToken) {
     try {
-      handleReport(report, sentNanos);
+      handleReport(report, sentNanos, usedToken);
     } catch (RuntimeException e) {
       LOG.write(LogEvent.UNEXPECTED_ERROR, e, "worker", id());
       timer.after(RETRY_DELAY, this::report);
     }
   }
 
-  private void handleReport(WorkerReport report, long sentNanos) {
+  private void handleReport(WorkerReport report, long sentNanos, long usedToken) {
+    lease.reported(usedToken, report.incarnation());
     boolean restarted = joined && report.incarnation() != incarnation;
     if (restarted) {
       LOG.write(
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
@@ -24,6 +24,9 @@
 
   private static final Duration TASK_TIME = Duration.ofMillis(100);
 
+  /** The longest lease of a worker, and no further second in which an owner notices its end. */
+  private static final long LEASE_AND_LESS_THAN_A_SECOND = 2000;
+
   private final FakeFleet fleet = new FakeFleet(4, TASK_TIME);
 
   private void advanceMillis(long millis) {
@@ -244,6 +247,71 @@
     assertThat(fleet.observer.violations()).isEmpty();
   }
 
+  /**
+   * Guards against two runs of a task of a durable job: the next owner does not extend the lease of
+   * a worker that also has a run of a job that it does not know, but the former owner has.
+   */
+  @Test
+  void durableTaskBesideARunOfAnUnknownJobIsNotRestartedBeforeItsLeaseExpires() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(20)));
+    OwnerVm first = fleet.vm("first").takeOverShard().orElseThrow();
+    advanceMillis(50);
+    first.submit(FakeFleet.job("unknown", 1, 20_000, true));
+    first.submit(FakeFleet.job("durable", 1, 20_000, false));
+    advanceMillis(50);
+    assertThat(fleet.workers.getFirst().runningTasks()).isEqualTo(2);
+    OwnedShard shard = takeOverFrom(first);
+    long takenOverNanos = fleet.timer.nanoTime();
+    fleet.network.setPath("second", fleet.workers.getFirst(), FakeNetwork.Path.CUT);
+    advanceMillis(300);
+    assertThat(shard.ready()).isTrue();
+    assertThat(fleet.observer.violations()).isEmpty();
+
+    assertThat(millisUntilStarts(3, takenOverNanos)).isLessThan(LEASE_AND_LESS_THAN_A_SECOND);
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  /** Guards against a takeover that delays new jobs, or the restart of the tasks of a crash. */
+  @Test
+  void ordinaryTakeoverDelaysLostTasksByOneLeaseAndAcknowledgementsNotAtAll() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(20)));
+    OwnerVm first = fleet.vm("first").takeOverShard().orElseThrow();
+    advanceMillis(50);
+    first.submit(FakeFleet.job("durable", 4, 20_000, false));
+    advanceMillis(50);
+    OwnedShard shard = takeOverFrom(first);
+    long takenOverNanos = fleet.timer.nanoTime();
+    FakeWorker crashed = fleet.workers.getFirst();
+    crashed.setRestartTime(Duration.ofSeconds(60));
+    crashed.crash();
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("next", 1, 100, false), answers::add);
+    advanceMillis(50);
+    assertThat(answers).containsExactly(new JobAnswer.Accepted());
+
+    // Four tasks of the first job, the one of the second job, and the two that were lost.
+    assertThat(millisUntilStarts(7, takenOverNanos)).isLessThan(LEASE_AND_LESS_THAN_A_SECOND);
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
+  /** Kills an owner; the next one takes over at once and has a first report of each worker. */
+  private OwnedShard takeOverFrom(OwnerVm owner) {
+    owner.kill(fleet.network);
+    FakeFleet.Vm second = fleet.vm("second");
+    OwnedShard shard =
+        takeOverWithoutWaiting(second, Optional.of(storedLease()), second.directory.entries());
+    advanceMillis(20);
+    return shard;
+  }
+
+  private long millisUntilStarts(int starts, long sinceNanos) {
+    for (int step = 0; step < 1000 && fleet.observer.starts().size() < starts; step++) {
+      advanceMillis(5);
+    }
+    assertThat(fleet.observer.starts()).hasSize(starts);
+    return Duration.ofNanos(fleet.timer.nanoTime() - sinceNanos).toMillis();
+  }
+
   private OwnedShard takeOverWithoutWaiting(
       FakeFleet.Vm vm, Optional<LeaseRecord> lastKnown, Collection<WorkerEntry> known) {
     return Takeovers.withoutWaiting(fleet, vm, lastKnown, known);
--- a/foundation/src/main/java/org/lovagerack/foundation/timer/DrivenTimer.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/timer/DrivenTimer.java
@@ -11,11 +11,14 @@
  */
 public final class DrivenTimer implements TimerService {
 
+  /** Time at the start, so that a time that was never set differs from the present. */
+  private static final Duration START = Duration.ofDays(1);
+
   private final PriorityQueue<Entry> entries =
       new PriorityQueue<>(
           Comparator.comparingLong((Entry entry) -> entry.dueNanos)
               .thenComparingLong(entry -> entry.order));
-  private long nowNanos;
+  private long nowNanos = START.toNanos();
   private long nextOrder;
 
   @Override
