Confirm a lease from the first attempt of a repeated transaction

Cause: a transaction of the owner whose answer was lost is repeated unchanged. The store then answers that the lease row is as the first attempt wrote it, and ShardLog confirmed the lease from the time of the repetition. Other VMs count the lease from the first attempt, so for up to the timeout of one transaction a former owner took an expired lease for valid: it extended and started tasks of durable jobs, and did not revoke the runs of jobs that its entry VMs had given up.

Change: the lease counts from the first attempt that may have been applied, and is renewed at once after such an answer instead of at the next renewal, up to a quarter of the lease later.

What it did not break, by reading: tokens and the recovery gate. The repetition is sent before another VM takes over, and the next owner waits for the longest lease from its own start, so runs that the former owner extends too late have lapsed when the gate opens.

Evidence: ShardLogTest.repeatedTransactionConfirmsTheLeaseFromItsFirstAttempt fails on the code before.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/ShardLog.java
@@ -49,6 +49,10 @@
   private Duration confirmedDuration;
   private List<CommitEntry> batch;
   private boolean mayHaveBeenApplied;
+
+  /** When the first attempt of the transaction was sent that may have been applied. */
+  private LeaseClock.Timestamp firstSentAt;
+
   private boolean renewalDue;
   private boolean tokenRaiseDue;
   private long confirmedToken;
@@ -83,6 +87,7 @@
     this.lease = lease;
     this.leaseVersion = leaseVersion;
     this.confirmedAt = takenOverAt;
+    this.firstSentAt = takenOverAt;
     this.confirmedDuration = lease.duration();
     this.confirmedToken = lease.token();
     this.onLeaseLost = onLeaseLost;
@@ -225,6 +230,9 @@
       removals.addAll(entry.removals());
     }
     LeaseClock.Timestamp sentAt = clock.now();
+    if (!mayHaveBeenApplied) {
+      firstSentAt = sentAt;
+    }
     store.commit(
         new RowTransaction(conditions, writes, removals),
         health.timeout(),
@@ -240,7 +248,7 @@
   private void handleOutcome(CommitOutcome outcome, LeaseClock.Timestamp sentAt) {
     switch (outcome) {
       case CommitOutcome.Committed committed -> applied(committed.version(), sentAt);
-      case CommitOutcome.Conflict conflict -> conflicted(conflict, sentAt);
+      case CommitOutcome.Conflict conflict -> conflicted(conflict);
       case CommitOutcome.NotApplied failure -> failed(failure.reason(), false);
       case CommitOutcome.Unknown failure -> failed(failure.reason(), true);
     }
@@ -269,7 +277,7 @@
     }
   }
 
-  private void conflicted(CommitOutcome.Conflict conflict, LeaseClock.Timestamp sentAt) {
+  private void conflicted(CommitOutcome.Conflict conflict) {
     Optional<StoredRow> current =
         conflict.rows().stream().filter(row -> row.key().equals(rows.lease())).findFirst();
     if (current.isEmpty()) {
@@ -287,7 +295,9 @@
     if (!stored.sameTerm(lease)) {
       loseLease("token " + stored.token() + " is held by " + stored.ownerAddress());
     } else if (stored.sequence() == lease.sequence()) {
-      applied(current.get().version(), sentAt);
+      // An earlier attempt was applied, so other VMs have seen the lease unchanged since then.
+      renewalDue = true;
+      applied(current.get().version(), firstSentAt);
     } else {
       leaseVersion = current.get().version();
       dropConflicting(conflict);
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLogTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/ShardLogTest.java
@@ -25,6 +25,7 @@
   private final LeaseClock clock = new LeaseClock(timer, () -> timer.nanoTime() / 1_000_000);
   private final List<String> outcomes = new ArrayList<>();
   private final List<String> losses = new ArrayList<>();
+  private Runnable onCommitted = () -> {};
   private final LeaseRecord lease =
       new LeaseRecord(1000, 1000, 0, "10.0.0.1:1", 7, LeaseLength.MIN_DURATION);
 
@@ -46,6 +47,7 @@
           @Override
           public void committed() {
             outcomes.add(key + " committed");
+            onCommitted.run();
           }
 
           @Override
@@ -89,6 +91,38 @@
     assertThat(losses).isEmpty();
   }
 
+  /**
+   * Guards against an owner that takes its lease for valid after another VM may have taken over the
+   * shard: the transaction was applied at once, and its answer is known only when it is repeated.
+   */
+  @Test
+  void repeatedTransactionConfirmsTheLeaseFromItsFirstAttempt() {
+    ShardLog log = log();
+    connection.setFault(FakeStore.Fault.ANSWER_LOST);
+    log.append(write("key", true));
+    advanceMillis(200);
+    connection.setFault(FakeStore.Fault.NONE);
+    onCommitted = () -> connection.setFault(FakeStore.Fault.UNRESPONSIVE);
+    advanceMillis(LeaseLength.MIN_DURATION.toMillis() - 200);
+    assertThat(outcomes).containsExactly("key committed");
+
+    assertThat(log.leaseValid()).isFalse();
+  }
+
+  /** Guards against a lost answer that leaves the owner without a lease for longer than needed. */
+  @Test
+  void leaseIsRenewedAtOnceAfterALostAnswer() {
+    ShardLog log = log();
+    connection.setFault(FakeStore.Fault.ANSWER_LOST);
+    log.append(write("key", true));
+    advanceMillis(200);
+    connection.setFault(FakeStore.Fault.NONE);
+    advanceMillis(LeaseLength.MIN_DURATION.toMillis() - 200);
+
+    assertThat(outcomes).containsExactly("key committed");
+    assertThat(log.leaseValid()).isTrue();
+  }
+
   @Test
   void entryThatMayBeAppliedLateIsNotReportedAsDropped() {
     ShardLog log = log();
