Store whether a job has started instead of inferring it

Cause: a job that waits for a worker of another shard is transferred with a progress record, at its home and at the host. The next owner of either shard took any progress record of a durable job for proof that it had started, and so did the home of a job that its host had handed back. A host that said "running" for that reason made the home say it too.

Change: the record says whether a run is known to have started, and there is one way to restore it. A done task marks its job as started wherever it is learned. What must be assumed of runs in other shards, for refusals as not run, is a state of its own (Job.mayHaveRun) and no longer changes what callers are shown. A record of an earlier version counts as started if it names an ended run.

--- a/fleet/src/main/java/org/lovagerack/fleet/job/CarriedState.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/CarriedState.java
@@ -12,7 +12,7 @@
   private static final int FIRST_RUN = 1;
 
   /** Returns whether a run may have started in one of the job's shards. */
-  public boolean started() {
+  public boolean mayHaveRun() {
     return nextRun > FIRST_RUN;
   }
 }
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobCodec.java
@@ -205,6 +205,7 @@
               ArrayNode array = lost.putArray(Integer.toString(task));
               runs.forEach(run -> array.add(lostRunNode(run)));
             });
+    node.put("started", progress.started());
     node.put("storedAtMillis", progress.storedAtMillis());
     return node;
   }
@@ -233,7 +234,10 @@
       }
       lostRuns.put(taskNumber(entry.getKey()), runs);
     }
-    return new JobProgress(done, failedRuns, lostRuns, node.path("storedAtMillis").asLong());
+    // Earlier versions did not store whether the job has started.
+    boolean started = node.path("started").asBoolean(!done.isEmpty() || !failedRuns.isEmpty());
+    return new JobProgress(
+        done, failedRuns, lostRuns, started, node.path("storedAtMillis").asLong());
   }
 
   private static int taskNumber(String key) throws MalformedRecordException {
--- a/fleet/src/main/java/org/lovagerack/fleet/job/JobProgress.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/job/JobProgress.java
@@ -9,12 +9,14 @@
  * @param doneTasks tasks that succeeded
  * @param failedRuns numbers of the failed runs of each task, keyed by task number
  * @param lostRuns runs of each task that ended with their worker, keyed by task number
+ * @param started whether a run of the job is known to have started
  * @param storedAtMillis time of the record, Unix milliseconds; 0 if it is not known
  */
 public record JobProgress(
     List<Integer> doneTasks,
     Map<Integer, List<Integer>> failedRuns,
     Map<Integer, List<LostRun>> lostRuns,
+    boolean started,
     long storedAtMillis) {
 
   public JobProgress {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/HostedJobs.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/HostedJobs.java
@@ -125,7 +125,7 @@
             log.token(),
             false,
             false);
-    job.restoreTransferred(request.progress(), dependencies.timer().nanoTime());
+    job.restore(request.progress(), dependencies.timer().nanoTime());
     registry.add(job);
     log.append(
         new CommitEntry(
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -58,6 +58,7 @@
   private JobState finalState;
   private int nextRun;
   private boolean started;
+  private boolean ranUnderOthers;
   private boolean progressStored;
 
   Job(SubmittedJob submitted, long acceptedNanos, long token, boolean recovered, boolean repeated) {
@@ -176,15 +177,21 @@
     return started ? JobState.RUNNING : JobState.QUEUED;
   }
 
+  /** Returns whether a run is known to have started. */
   boolean started() {
     return started;
   }
 
+  /** Returns whether a run may have started, in another shard or in an earlier submission. */
+  boolean mayHaveRun() {
+    return started || ranUnderOthers;
+  }
+
   /** Returns whether no owner, of any shard, can have started a run of any task. */
   boolean neverRan() {
     return !recovered
         && !repeated
-        && !started
+        && !mayHaveRun()
         && !transferred()
         && tasks.stream().allMatch(task -> task.run() == null);
   }
@@ -262,6 +269,7 @@
 
   void markTaskDone(Task task) {
     if (task.phase() != Task.Phase.DONE) {
+      started = true;
       task.markDone();
       remainingInStep[task.id().step()]--;
     }
@@ -314,7 +322,7 @@
         lost.put(task.number(), task.losses().runs());
       }
     }
-    return new JobProgress(done, failed, lost, nowMillis);
+    return new JobProgress(done, failed, lost, started, nowMillis);
   }
 
   /**
@@ -328,9 +336,9 @@
 
   /** Takes over what the job has run in another shard. */
   void takeOver(CarriedState carried, long nowNanos) {
-    restoreTransferred(carried.progress(), nowNanos);
+    restore(carried.progress(), nowNanos);
     skipRunNumber(carried.nextRun() - 1);
-    started |= carried.started();
+    ranUnderOthers |= carried.mayHaveRun();
   }
 
   /** Returns the steps with tasks that are not done. */
@@ -353,14 +361,9 @@
             });
   }
 
-  /** Restores the whole progress of a durable job that has started. */
+  /** Restores the whole progress of the job. Progress is also stored of jobs without a run. */
   void restore(JobProgress progress, long nowNanos) {
-    started = true;
-    restoreTransferred(progress, nowNanos);
-  }
-
-  /** Restores the whole progress of a durable job that may not have started. */
-  void restoreTransferred(JobProgress progress, long nowNanos) {
+    started |= progress.started();
     restoreLosses(progress, nowNanos);
     for (int number : progress.doneTasks()) {
       if (number >= 0 && number < tasks.size()) {
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/JobIntake.java
@@ -233,7 +233,7 @@
     }
     boolean startsHere = transfers.canStartHere(job);
     boolean home = dependencies.neighbours().isHome(job.id());
-    if (job.started()) {
+    if (job.mayHaveRun()) {
       // The work spent on it is lost unless its last tasks run too; its home finds out where.
       return startsHere || home ? Optional.empty() : Optional.of(NO_SUITABLE_WORKER);
     }
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/SubmissionRelayTest.java
@@ -120,7 +120,7 @@
   void jobIsSubmittedToTheNextOwnerWithWhatItHasRun() {
     storeOwner(1000, "first");
     CarriedState state =
-        new CarriedState(new JobProgress(List.of(0), Map.of(), Map.of(), 1_000), 3);
+        new CarriedState(new JobProgress(List.of(0), Map.of(), Map.of(), true, 1_000), 3);
     peers.scriptedAnswers.add(new JobAnswer.HandedBack(state));
     peers.scriptedAnswers.add(OVERLOADED);
     submit(1000);
--- a/fleet/src/test/java/org/lovagerack/fleet/job/JobProgressCodecTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/job/JobProgressCodecTest.java
@@ -24,6 +24,7 @@
                 List.of(
                     new LostRun("worker-1", "10.0.0.1:1", 17, true, true),
                     new LostRun("worker-2", "10.0.0.2:1", 0, false, false))),
+            true,
             1_000);
 
     assertThat(JobCodec.decodeProgress(JobCodec.encode(progress))).isEqualTo(progress);
@@ -36,7 +37,7 @@
         FakeFleet.job("job-1", 2, 100, true)
             .continuing(
                 new CarriedState(
-                    new JobProgress(List.of(0), Map.of(1, List.of(2)), Map.of(), 1_000), 4));
+                    new JobProgress(List.of(0), Map.of(1, List.of(2)), Map.of(), true, 1_000), 4));
 
     assertThat(
             JobCodec.decodeSubmission(
@@ -47,7 +48,17 @@
   @Test
   void progressOfAVersionWithoutLostRunsIsRead() throws MalformedRecordException {
     assertThat(JobCodec.decodeProgress(bytes("{\"done\":[1],\"failedRuns\":{}}")))
-        .isEqualTo(new JobProgress(List.of(1), Map.of(), Map.of(), 0));
+        .isEqualTo(new JobProgress(List.of(1), Map.of(), Map.of(), true, 0));
+  }
+
+  /** Guards against jobs that count as started because something is stored about them. */
+  @Test
+  void progressWithoutEndedRunsDoesNotMeanThatTheJobHasStarted() throws MalformedRecordException {
+    JobProgress stored = new JobProgress(List.of(), Map.of(), Map.of(), false, 1_000);
+
+    assertThat(JobCodec.decodeProgress(JobCodec.encode(stored)).started()).isFalse();
+    assertThat(JobCodec.decodeProgress(bytes("{\"done\":[],\"failedRuns\":{}}")).started())
+        .isFalse();
   }
 
   @Test
--- a/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
+++ b/node/src/test/java/org/lovagerack/node/peer/ViewCodecTest.java
@@ -58,7 +58,7 @@
             new JobAnswer.Pending(12),
             new JobAnswer.HandedBack(
                 new CarriedState(
-                    new JobProgress(List.of(1), Map.of(2, List.of(7)), Map.of(), 9), 10_004)),
+                    new JobProgress(List.of(1), Map.of(2, List.of(7)), Map.of(), true, 9), 10_004)),
             new JobAnswer.UnknownJob(),
             new JobAnswer.Refused(ErrorKind.OVERLOADED, Duration.ofMillis(1500)),
             new JobAnswer.Unresolved(ErrorKind.OWNER_LOST));
