Count the pending jobs of each shard once

What callers saw: the count of pending jobs held the jobs of a VM once for each shard that it owns, so that the figure differed between VMs, and hid missing jobs at some.

Cause: a VM asks the owner of each shard, and the owner answered for all its shards.

Change: the call names the shard, and only the jobs of that shard are counted; an island's leader is asked in the same way. An owner that has lost the shard since now answers that it is not the owner, instead of a sum without its jobs.

Evidence: PendingJobsTest.jobsOfAVmThatOwnsSeveralShardsAreCountedOnce fails on the code before (20 instead of 10).

--- a/fleet/src/main/java/org/lovagerack/fleet/entry/IslandController.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/IslandController.java
@@ -113,6 +113,11 @@
     return leader.map(vm -> peers.jobsAt(vm.address(), vm.id().incarnation()));
   }
 
+  /** Returns the process that leads the island; empty if there is none or this one leads it. */
+  Optional<EntryVm> leader() {
+    return leader;
+  }
+
   /** Returns the job service of the island if this process leads it. */
   Optional<JobService> localJobs() {
     return Optional.ofNullable(island).map(Island::jobs);
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -229,16 +229,12 @@
 
   /** Returns the host of jobs of other shards if this process owns a shard. */
   public Optional<JobHost> localHost(int shard) {
-    return shard >= 0 && shard < trackers.size()
-        ? trackers.get(shard).ownedShard().map(OwnedShard::host)
-        : Optional.empty();
+    return tracker(shard).flatMap(ShardOwnerTracker::ownedShard).map(OwnedShard::host);
   }
 
   /** Returns the job service of a shard if this process owns it. */
   public Optional<JobService> localShardJobs(int shard) {
-    return shard >= 0 && shard < trackers.size()
-        ? trackers.get(shard).ownedShard().map(OwnedShard::jobs)
-        : Optional.empty();
+    return tracker(shard).flatMap(ShardOwnerTracker::ownedShard).map(OwnedShard::jobs);
   }
 
   /** Returns the loads of the shards that this process owns. */
@@ -251,12 +247,13 @@
     return loads;
   }
 
-  /** Counts the pending jobs of a queue in the shards that this process serves. */
-  public void localPending(String queueName, Consumer<JobAnswer> callback) {
-    PendingJobCounter.count(
-        trackers.stream().flatMap(tracker -> tracker.localJobs().stream()).toList(),
-        queueName,
-        callback);
+  /** Counts the pending jobs of a queue in a shard that this process serves. */
+  public void localPending(int shard, String queueName, Consumer<JobAnswer> callback) {
+    tracker(shard)
+        .flatMap(ShardOwnerTracker::localJobs)
+        .ifPresentOrElse(
+            jobs -> jobs.pending(queueName, callback),
+            () -> callback.accept(OwnerFailures.NO_OWNER));
   }
 
   @Override
@@ -302,12 +299,10 @@
 
   @Override
   public void pending(String queueName, Consumer<JobAnswer> callback) {
-    List<JobService> owners =
-        trackers.stream().flatMap(tracker -> tracker.jobs().stream()).toList();
-    if (trackers.isEmpty() || owners.size() < trackers.size()) {
+    if (trackers.isEmpty()) {
       callback.accept(OwnerFailures.NO_OWNER);
     } else {
-      PendingJobCounter.count(owners, queueName, callback);
+      PendingJobCounter.count(trackers, queueName, callback);
     }
   }
 
@@ -340,6 +335,13 @@
         });
   }
 
+  /** Returns the tracker of a shard; empty if there is no such shard. */
+  private Optional<ShardOwnerTracker> tracker(int shard) {
+    return shard >= 0 && shard < trackers.size()
+        ? Optional.of(trackers.get(shard))
+        : Optional.empty();
+  }
+
   /** Returns the tracker of a job's shard; empty until the number of shards is known. */
   private Optional<ShardOwnerTracker> tracker(String jobId) {
     return trackers.isEmpty() ? Optional.empty() : Optional.of(trackers.get(map.ofJob(jobId)));
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/PeerCalls.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/PeerCalls.java
@@ -50,10 +50,10 @@
   JobService jobsAt(String address, long incarnation);
 
   /**
-   * Returns the service for jobs that were redirected to a shard, of the process at an address,
-   * which owns the shard.
+   * Returns the service for the jobs of one shard of the process at an address. The process owns
+   * the shard; it may also lead its island if only pending jobs are counted.
    */
-  JobService redirectedJobsAt(String address, long incarnation, int shard);
+  JobService shardJobsAt(String address, long incarnation, int shard);
 
   /**
    * Returns the service for jobs of other shards of the process at an address, which owns a shard.
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/PendingJobCounter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/PendingJobCounter.java
@@ -3,9 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.lovagerack.fleet.job.JobAnswer;
-import org.lovagerack.fleet.job.JobService;
 
-/** Adds up the pending jobs of a queue over several services; returns the first failure if any. */
+/** Adds up the pending jobs of a queue over all shards; returns the first failure if any. */
 final class PendingJobCounter {
 
   private final Consumer<JobAnswer> callback;
@@ -17,14 +16,11 @@
     this.callback = callback;
   }
 
-  /** Queries all services and calls back once with the sum or the first failure. */
-  static void count(List<JobService> services, String queueName, Consumer<JobAnswer> callback) {
-    if (services.isEmpty()) {
-      callback.accept(new JobAnswer.Pending(0));
-      return;
-    }
-    PendingJobCounter counter = new PendingJobCounter(services.size(), callback);
-    services.forEach(service -> service.pending(queueName, counter::add));
+  /** Queries each shard, and calls back once with the sum or the first failure. */
+  static void count(
+      List<ShardOwnerTracker> shards, String queueName, Consumer<JobAnswer> callback) {
+    PendingJobCounter counter = new PendingJobCounter(shards.size(), callback);
+    shards.forEach(shard -> shard.pending(queueName, counter::add));
   }
 
   private void add(JobAnswer answer) {
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobHost;
 import org.lovagerack.fleet.job.JobService;
 import org.lovagerack.fleet.job.MalformedRecordException;
@@ -165,8 +167,22 @@
     if (owner == null || owner.vacant() || lease.isOwn(owner)) {
       return Optional.empty();
     }
-    return Optional.of(
-        peers.redirectedJobsAt(owner.ownerAddress(), owner.ownerIncarnation(), shard));
+    return Optional.of(peers.shardJobsAt(owner.ownerAddress(), owner.ownerIncarnation(), shard));
+  }
+
+  /** Counts the pending jobs of a queue in this shard only. */
+  void pending(String queueName, Consumer<JobAnswer> callback) {
+    Optional<JobService> jobs =
+        localJobs()
+            .or(
+                () ->
+                    island
+                        .leader()
+                        .map(vm -> peers.shardJobsAt(vm.address(), vm.id().incarnation(), shard)))
+            .or(this::redirectedJobs);
+    jobs.ifPresentOrElse(
+        service -> service.pending(queueName, callback),
+        () -> callback.accept(OwnerFailures.NO_OWNER));
   }
 
   /** Returns whether the owner is this process or has answered the last probe. */
--- a/fleet/src/test/java/org/lovagerack/fleet/entry/PendingJobsTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/entry/PendingJobsTest.java
@@ -157,4 +157,16 @@
 
     assertStatesAndCount("two");
   }
+
+  /** Guards against jobs that are counted once for each shard of their VM. */
+  @Test
+  void jobsOfAVmThatOwnsSeveralShardsAreCountedOnce() {
+    start("one");
+    setLabels(workerOfShard(0), LABEL);
+    submitJobs("one");
+    start("two");
+    assertThat(processes.router("one").ownedShards()).isEqualTo(SHARDS);
+
+    assertStatesAndCount("two");
+  }
 }
--- a/fleet/src/test/java/org/lovagerack/fleet/support/ConnectedPeers.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/ConnectedPeers.java
@@ -56,7 +56,7 @@
   }
 
   @Override
-  public JobService redirectedJobsAt(String address, long incarnation, int shard) {
+  public JobService shardJobsAt(String address, long incarnation, int shard) {
     return ended.contains(address)
         ? new UnresponsiveJobService()
         : routers.get(address).localShardJobs(shard).orElseGet(UnresponsiveJobService::new);
--- a/fleet/src/test/java/org/lovagerack/fleet/support/RespondingPeers.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/support/RespondingPeers.java
@@ -28,7 +28,7 @@
   }
 
   @Override
-  public JobService redirectedJobsAt(String address, long incarnation, int shard) {
+  public JobService shardJobsAt(String address, long incarnation, int shard) {
     throw new IllegalStateException("this test does not redirect jobs");
   }
 
--- a/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerClient.java
@@ -121,7 +121,7 @@
   }
 
   @Override
-  public JobService redirectedJobsAt(String address, long incarnation, int shard) {
+  public JobService shardJobsAt(String address, long incarnation, int shard) {
     return jobsOfShard(address, incarnation, shard);
   }
 
--- a/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
+++ b/node/src/main/java/org/lovagerack/node/peer/PeerServer.java
@@ -107,7 +107,11 @@
       handleJobCall(request, entry, path.substring(PeerProtocol.JOBS_PATH.length()), answer);
     } else if (path.startsWith(PeerProtocol.QUEUES_PATH)) {
       String queue = path.substring(PeerProtocol.QUEUES_PATH.length());
-      router.localPending(queue, answer);
+      if (request.headers().contains(PeerProtocol.SHARD_HEADER)) {
+        router.localPending(shard(request), queue, answer);
+      } else {
+        request.response().setStatusCode(BAD_REQUEST).end();
+      }
     } else {
       request.response().setStatusCode(NOT_FOUND).end();
     }
