Forget an inherited run that is lost before its job arrives

What callers saw: a best-effort job that was submitted again after a takeover got no answer, if the worker that ran its task had listed the run to the next owner and then crashed, within the 0.3 s in which the job's runs are kept for it.

Cause: such a run was removed from the worker's session, but not from the runs that wait for their jobs. The job claimed it and waited for its end.

Change: the loss of a run also removes it there.

Evidence: OwnerChangeTest.resubmittedJobDoesNotClaimARunThatWasLost fails on the code before: no answer within 6 s.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/InheritedRuns.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/InheritedRuns.java
@@ -44,6 +44,12 @@
     }
   }
 
+  /** Removes a run that is no longer active and has not completed. */
+  void recordLoss(TaskRun run) {
+    running.computeIfPresent(
+        run.task(), (task, inherited) -> inherited.run().equals(run) ? null : inherited);
+  }
+
   /** Removes and returns the active run of a task. */
   Optional<InheritedRun> claim(TaskId task) {
     return Optional.ofNullable(running.remove(task));
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/RunTracker.java
@@ -295,6 +295,7 @@
   @Override
   public void lost(WorkerSession session, TaskRun run, RunLoss loss, String reason) {
     Optional<Task> current = registry.find(run.task()).filter(task -> task.isCurrent(run));
+    inheritedRuns.recordLoss(run);
     current.ifPresent(task -> losses.record(task, session, loss));
     LOG.write(
         LogEvent.RUN_LOST,
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
@@ -294,6 +294,30 @@
     assertThat(fleet.observer.violations()).isEmpty();
   }
 
+  /**
+   * Guards against a job that waits for ever for a run that has ended: its worker listed the run to
+   * the next owner and crashed before the job was submitted again.
+   */
+  @Test
+  void resubmittedJobDoesNotClaimARunThatWasLost() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofMillis(900)));
+    OwnerVm first = fleet.vm("first").takeOverShard().orElseThrow();
+    advanceMillis(50);
+    first.submit(FakeFleet.job("job-1", 1, 900, true));
+    advanceMillis(50);
+    OwnedShard shard = takeOverFrom(first);
+    fleet.workers.getFirst().restart();
+    fleet.list(fleet.workers.getFirst());
+    advanceMillis(100);
+    List<JobAnswer> answers = new ArrayList<>();
+    shard.jobs().submit(FakeFleet.job("job-1", 1, 900, true).asRepeated(), answers::add);
+    advanceMillis(6000);
+
+    assertThat(answers).containsExactly(new JobAnswer.State(JobState.COMPLETED));
+    assertThat(fleet.observer.starts()).hasSize(2);
+    assertThat(fleet.observer.violations()).isEmpty();
+  }
+
   /** Kills an owner; the next one takes over at once and has a first report of each worker. */
   private OwnedShard takeOverFrom(OwnerVm owner) {
     owner.kill(fleet.network);
