Do not refuse a job as not run after a run of it was lost

What callers saw: a best-effort job that was submitted again after its worker had crashed could be refused as not run for overload, or while it was queued, although a run of it had started.

Cause: the record of lost runs was read for the decision where its task may start, not for refusals.

Change: a job with such a record may have run (Job.mayHaveRun), as one has that another shard hands over.

Evidence: OwnerChangeTest.jobWithALostRunIsNotRefusedAsNotRun fails on the code before.

--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -351,6 +351,7 @@
   /** Restores the lost runs of the tasks. */
   void restoreLosses(JobProgress progress, long nowNanos) {
     progressStored = true;
+    ranUnderOthers |= !progress.lostRuns().isEmpty();
     progress
         .lostRuns()
         .forEach(
--- a/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
+++ b/fleet/src/test/java/org/lovagerack/fleet/shard/OwnerChangeTest.java
@@ -11,6 +11,7 @@
 import org.lovagerack.fleet.job.CarriedState;
 import org.lovagerack.fleet.job.JobAnswer;
 import org.lovagerack.fleet.job.JobState;
+import org.lovagerack.fleet.job.Submission;
 import org.lovagerack.fleet.support.FakeFleet;
 import org.lovagerack.fleet.support.FakeNetwork;
 import org.lovagerack.fleet.support.FakeStore;
@@ -318,6 +319,33 @@
     assertThat(fleet.observer.violations()).isEmpty();
   }
 
+  /**
+   * Guards against a job that is refused as not run although a run of it was lost with its worker:
+   * its client left, and submits the job again while the queue is long.
+   */
+  @Test
+  void jobWithALostRunIsNotRefusedAsNotRun() {
+    fleet.workers.forEach(worker -> worker.setTaskTime(Duration.ofSeconds(20)));
+    OwnerVm owner = fleet.vm("first").takeOverShard().orElseThrow();
+    advanceMillis(1000);
+    Submission submission = FakeFleet.job("job-1", 1, 20_000, true);
+    owner.submit(submission);
+    advanceMillis(50);
+    fleet.workers.getFirst().crash();
+    advanceMillis(2000);
+    owner.shard().jobs().abandon(submission);
+    for (int job = 0; job < 20; job++) {
+      owner.submit(FakeFleet.job("queued-" + job, 2, 20_000, false));
+      advanceMillis(20);
+    }
+    List<JobAnswer> others = owner.submit(FakeFleet.job("job-2", 1, 20_000, true));
+    List<JobAnswer> answers = owner.submit(submission);
+    advanceMillis(50);
+
+    assertThat(others).hasSize(1).allMatch(answer -> answer instanceof JobAnswer.Refused);
+    assertThat(answers).isEmpty();
+  }
+
   /** Kills an owner; the next one takes over at once and has a first report of each worker. */
   private OwnedShard takeOverFrom(OwnerVm owner) {
     owner.kill(fleet.network);
