Play stored jobs across changes of the owner with processes

The soak's proxy before the peer port accepts connections while the process is down, so VMs notice the end of a process late; the test connects them directly, as the first case needs a takeover that is faster than the lease of a worker.

--- a/soak/src/main/java/org/lovagerack/soak/Soak.java
+++ b/soak/src/main/java/org/lovagerack/soak/Soak.java
@@ -132,7 +132,8 @@
               checker,
               this::recordViolation,
               folder,
-              storePort);
+              storePort,
+              true);
       vms.add(soakVm);
       started.add(soakVm.open());
     }
--- a/soak/src/main/java/org/lovagerack/soak/SoakVm.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakVm.java
@@ -39,6 +39,7 @@
   private final Consumer<String> violationListener;
   private final Path settingsFile;
   private final Path log;
+  private final boolean peersUseProxy;
   private final int clientPort = Loopback.freePort();
   private final int peerPort = Loopback.freePort();
   private final int readinessPort = Loopback.freePort();
@@ -59,6 +60,12 @@
   private boolean closed;
   private int incarnation;
 
+  /**
+   * Creates an entry VM.
+   *
+   * @param peersUseProxy whether other entry VMs connect through a proxy, which accepts connections
+   *     also while the process is down
+   */
   SoakVm(
       int index,
       Vertx vertx,
@@ -69,7 +76,8 @@
       GuaranteeChecker checker,
       Consumer<String> violationListener,
       Path folder,
-      int storePort) {
+      int storePort,
+      boolean peersUseProxy) {
     this.index = index;
     this.timer = timer;
     this.context = context;
@@ -77,6 +85,7 @@
     this.disruptions = disruptions;
     this.checker = checker;
     this.violationListener = violationListener;
+    this.peersUseProxy = peersUseProxy;
     this.settingsFile = folder.resolve("vm-" + index + ".json");
     this.log = folder.resolve("vm-" + index + ".log");
     this.peerProxy = new FaultyProxy(vertx, timer, Loopback.HOST, peerPort);
@@ -238,7 +247,8 @@
                 readinessPort,
                 peerPort,
                 Loopback.address(storeProxyPort))
-            .put("advertisedPeerAddress", Loopback.address(peerProxyPort))
+            .put(
+                "advertisedPeerAddress", Loopback.address(peersUseProxy ? peerProxyPort : peerPort))
             .put("workersPerShard", WORKERS_PER_SHARD)
             .put("stopWithinMillis", STOP_TIMEOUT.toMillis());
     try {
--- a/soak/src/main/java/org/lovagerack/soak/SoakWorker.java
+++ b/soak/src/main/java/org/lovagerack/soak/SoakWorker.java
@@ -23,6 +23,7 @@
   private final StoreStandIn store;
   private final int index;
   private final GuaranteeChecker checker;
+  private final String label;
   private final WorkerStandIn worker;
   private final TemporaryOverride<WorkerStandIn.Fault> fault;
   private final TemporaryOverride<Boolean> draining;
@@ -31,12 +32,24 @@
 
   SoakWorker(
       Vertx vertx, TimerService timer, StoreStandIn store, int index, GuaranteeChecker checker) {
+    this(vertx, timer, store, index, checker, TASK_DURATION, label(index % LABELS));
+  }
+
+  SoakWorker(
+      Vertx vertx,
+      TimerService timer,
+      StoreStandIn store,
+      int index,
+      GuaranteeChecker checker,
+      Duration taskDuration,
+      String label) {
     this.vertx = vertx;
     this.timer = timer;
     this.store = store;
     this.index = index;
     this.checker = checker;
-    this.worker = new WorkerStandIn(vertx, TASK_DURATION, checker.observe(index));
+    this.label = label;
+    this.worker = new WorkerStandIn(vertx, taskDuration, checker.observe(index));
     this.fault = new TemporaryOverride<>(timer, WorkerStandIn.Fault.NONE, worker::setFault);
     this.draining = new TemporaryOverride<>(timer, false, this::setDraining);
   }
@@ -76,6 +89,16 @@
     return draining;
   }
 
+  /** Returns the highest fencing token that the worker has seen. */
+  long highestToken() {
+    return worker.highestToken();
+  }
+
+  /** Returns the starts that the worker performed. */
+  List<WorkerStandIn.Start> starts() {
+    return worker.starts();
+  }
+
   /** Restarts the worker without its state and registers the new start time. */
   void restart() {
     worker.restart();
@@ -94,9 +117,6 @@
         "",
         "worker-" + index,
         PlatformFixtures.worker(
-            Loopback.address(proxyPort),
-            state,
-            worker.startTimeMillis(),
-            List.of(label(index % LABELS))));
+            Loopback.address(proxyPort), state, worker.startTimeMillis(), List.of(label)));
   }
 }
