--- a/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/JobRouter.java
@@ -325,7 +325,7 @@
           if (answer instanceof JobAnswer.Redirected redirected) {
             trackers
                 .get(redirected.shard())
-                .redirectedJobs()
+                .shardJobs()
                 .ifPresentOrElse(
                     other -> call.accept(other, callback),
                     () -> callback.accept(OwnerFailures.NO_OWNER));
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/ShardOwnerTracker.java
@@ -159,8 +159,8 @@
     return Optional.of(peers.hostAt(owner.ownerAddress(), owner.ownerIncarnation(), shard));
   }
 
-  /** Returns the service for jobs that were redirected to the shard; islands take none. */
-  Optional<JobService> redirectedJobs() {
+  /** Returns the service for the jobs of this shard only, at its owner and not at an island. */
+  Optional<JobService> shardJobs() {
     if (ownedShard != null) {
       return Optional.of(ownedShard.jobs());
     }
@@ -179,7 +179,7 @@
                     island
                         .leader()
                         .map(vm -> peers.shardJobsAt(vm.address(), vm.id().incarnation(), shard)))
-            .or(this::redirectedJobs);
+            .or(this::shardJobs);
     jobs.ifPresentOrElse(
         service -> service.pending(queueName, callback),
         () -> callback.accept(OwnerFailures.NO_OWNER));
@@ -187,7 +187,7 @@
 
   /** Returns whether the owner is this process or has answered the last probe. */
   boolean acceptsRedirectedJobs() {
-    return ownedShard != null || (redirectedJobs().isPresent() && !ownerUnresponsive());
+    return ownedShard != null || (shardJobs().isPresent() && !ownerUnresponsive());
   }
 
   boolean isOwner() {
--- a/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/entry/SubmissionRelay.java
@@ -111,7 +111,7 @@
     if (finished) {
       return;
     }
-    Optional<JobService> owner = target == home ? home.jobs() : target.redirectedJobs();
+    Optional<JobService> owner = target == home ? home.jobs() : target.shardJobs();
     if (owner.isEmpty() || (target.ownerUnresponsive() && !submission.repeated())) {
       retryOrFinish(OwnerFailures.NO_OWNER);
       return;
--- a/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
+++ b/fleet/src/main/java/org/lovagerack/fleet/shard/Job.java
@@ -58,7 +58,7 @@
   private JobState finalState;
   private int nextRun;
   private boolean started;
-  private boolean ranUnderOthers;
+  private boolean mayHaveEarlierRuns;
   private boolean progressStored;
 
   Job(SubmittedJob submitted, long acceptedNanos, long token, boolean recovered, boolean repeated) {
@@ -184,7 +184,7 @@
 
   /** Returns whether a run may have started, in another shard or in an earlier submission. */
   boolean mayHaveRun() {
-    return started || ranUnderOthers;
+    return started || mayHaveEarlierRuns;
   }
 
   /** Returns whether no owner, of any shard, can have started a run of any task. */
@@ -338,7 +338,7 @@
   void takeOver(CarriedState carried, long nowNanos) {
     restore(carried.progress(), nowNanos);
     skipRunNumber(carried.nextRun() - 1);
-    ranUnderOthers |= carried.mayHaveRun();
+    mayHaveEarlierRuns |= carried.mayHaveRun();
   }
 
   /** Returns the steps with tasks that are not done. */
@@ -351,7 +351,7 @@
   /** Restores the lost runs of the tasks. */
   void restoreLosses(JobProgress progress, long nowNanos) {
     progressStored = true;
-    ranUnderOthers |= !progress.lostRuns().isEmpty();
+    mayHaveEarlierRuns |= !progress.lostRuns().isEmpty();
     progress
         .lostRuns()
         .forEach(
