--- a/benchmarks/src/main/java/org/lovagerack/benchmarks/Simulation.java
+++ b/benchmarks/src/main/java/org/lovagerack/benchmarks/Simulation.java
@@ -18,7 +18,7 @@
   private final Workload workload;
   private final Scenario scenario;
   private final Duration horizon;
-  private final DrivenTimer timer = new DrivenTimer();
+  private final DrivenTimer timer = new DrivenTimer(Duration.ZERO);
   private final Map<String, FakeUpstream> upstreams = new LinkedHashMap<>();
   private final Map<String, TaskRecord> tasks = new HashMap<>();
   private final List<EntryVm> vms = new ArrayList<>();
--- a/benchmarks/src/test/java/org/lovagerack/benchmarks/FakeUpstreamTest.java
+++ b/benchmarks/src/test/java/org/lovagerack/benchmarks/FakeUpstreamTest.java
@@ -20,7 +20,7 @@
   private static final String ADDRESS = Workload.address(0);
   private static final Duration RUN_TIME = Duration.ofMillis(100);
 
-  private final DrivenTimer timer = new DrivenTimer();
+  private final DrivenTimer timer = new DrivenTimer(Duration.ZERO);
   private final EntryLoop loop = new EntryLoop(timer);
   private final FakeUpstream upstream =
       new FakeUpstream(timer, ADDRESS, 2 * Workload.REFERENCE_SPEED, 2);
--- a/foundation/src/main/java/org/lovagerack/foundation/timer/DrivenTimer.java
+++ b/foundation/src/main/java/org/lovagerack/foundation/timer/DrivenTimer.java
@@ -11,16 +11,29 @@
  */
 public final class DrivenTimer implements TimerService {
 
-  /** Time at the start, so that a time that was never set differs from the present. */
-  private static final Duration START = Duration.ofDays(1);
+  /** Default start, at which a time that was never set differs from the present. */
+  private static final Duration DEFAULT_START = Duration.ofDays(1);
 
   private final PriorityQueue<Entry> entries =
       new PriorityQueue<>(
           Comparator.comparingLong((Entry entry) -> entry.dueNanos)
               .thenComparingLong(entry -> entry.order));
-  private long nowNanos = START.toNanos();
+  private long nowNanos;
   private long nextOrder;
 
+  /** Creates a timer whose monotonic time starts far from 0. */
+  public DrivenTimer() {
+    this(DEFAULT_START);
+  }
+
+  /**
+   * Creates a timer whose monotonic time starts at the given value, for schedules that count from
+   * it.
+   */
+  public DrivenTimer(Duration start) {
+    nowNanos = start.toNanos();
+  }
+
   @Override
   public long nanoTime() {
     return nowNanos;
